--- /dev/null
+++ b/pkg/group/issuer.go
@@ -0,0 +1,128 @@
+package group
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/placement"
+)
+
+// Order tells a backend server which group to be in.
+type Order struct {
+	Server       string
+	Address      string // IP:port
+	BootID       string // the run it is meant for
+	Group        string
+	Epoch        journal.Offset
+	Model        string
+	ModelVersion string
+	Rank         int                // place among the members, 0 takes requests
+	Members      []placement.Member // of the group
+	Fence        journal.Offset     // fencing number
+	Claim        journal.Offset     // names the claimed order; 0 for a server that checks fencing numbers
+}
+
+// ErrNotSent reports that nothing of an order was written, and that nothing
+// will be.
+var ErrNotSent = errors.New("order was not sent")
+
+// Issuer sends orders. A claimed order is sent once in the life of a process.
+type Issuer struct {
+	Self placement.Process
+	// Send sends one order, without any repetition. nil means that the server
+	// confirmed it, ErrNotSent that nothing was written. After any other error
+	// the order may still be obeyed.
+	Send  func(ctx context.Context, o Order) error
+	NewID func() string // IDs of records
+
+	disabled guard
+	mu       sync.Mutex
+	sent     map[journal.Offset]bool
+	outcomes map[journal.Offset]placement.Record
+}
+
+// Issue sends the order, unless it is claimed and was sent before. The state is
+// the newest one: an order whose claim is not open for this process is not
+// sent.
+func (i *Issuer) Issue(ctx context.Context, s placement.State, o Order) error {
+	if o.Claim == 0 {
+		return i.Send(ctx, o)
+	}
+	claim, ok := s.Claim(o.Server)
+	if i.on(guardClaim) && (!ok || claim.Offset != o.Claim || claim.Claimant != i.Self) {
+		return errors.Wrapf(ErrNotSent, "claim %d on %q is not open for %q", o.Claim, o.Server, i.Self.Name)
+	}
+	if !i.begin(o.Claim) && i.on(guardOnce) {
+		return nil
+	}
+	err := i.Send(ctx, o)
+	i.finish(o, err)
+	return err
+}
+
+// begin reports whether the claimed order is sent for the first time.
+func (i *Issuer) begin(claim journal.Offset) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.sent[claim] {
+		return false
+	}
+	if i.sent == nil {
+		i.sent = make(map[journal.Offset]bool)
+	}
+	i.sent[claim] = true
+	return true
+}
+
+func (i *Issuer) finish(o Order, err error) {
+	release := placement.OrderRelease{Server: o.Server, Claimant: i.Self}
+	switch {
+	case err == nil:
+		release.Outcome = placement.OutcomeApplied
+	case errors.Is(err, ErrNotSent) || !i.on(guardUnknown):
+		release.Outcome = placement.OutcomeNotSent
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.outcomes == nil {
+		i.outcomes = make(map[journal.Offset]placement.Record)
+	}
+	i.outcomes[o.Claim] = placement.Record{
+		ID:       i.NewID(),
+		Presumes: o.Claim,
+		Writer:   i.Self.Name,
+		Body:     release,
+	}
+}
+
+// Sent reports whether the claimed order was sent, or is being sent.
+func (i *Issuer) Sent(claim journal.Offset) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.sent[claim]
+}
+
+// Pending returns the releases of claims that are still open in the state.
+// Append them until none is left; a record's ID stays the same.
+func (i *Issuer) Pending(s placement.State) []placement.Record {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var records []placement.Record
+	for _, claim := range s.Claims() {
+		if r, ok := i.outcomes[claim.Offset]; ok {
+			records = append(records, r)
+		}
+	}
+	for offset := range i.outcomes {
+		if c, ok := s.Claim(i.outcomes[offset].Body.(placement.OrderRelease).Server); ok && c.Offset == offset {
+			continue
+		}
+		if s.Offset() > offset {
+			delete(i.outcomes, offset)
+		}
+	}
+	return records
+}
