--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -23,7 +23,7 @@
 	Kind    MessageKind
 	From    string
 	To      string // name of the receiver
-	Address string // IP:port of the receiver; not encoded
+	Address string // IP:port of the receiver, not encoded; empty for an answer to one whose address is not known
 	Sums    []uint32
 	Buckets []int // buckets whose sums differ, in an Ack
 	Digests []Digest
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -16,7 +16,7 @@
 	}
 	from := t.sender(now, m.From)
 	if from == nil {
-		return nil
+		return t.answerStranger(m)
 	}
 	switch m.Kind {
 	case Ping:
@@ -29,6 +29,15 @@
 	return nil
 }
 
+// answerStranger answers the ping of a member that is not known yet, which
+// would hold this one for silent otherwise, and asks for its row.
+func (t *Table) answerStranger(m Message) []Message {
+	if m.Kind != Ping || m.From == t.self.row.Name {
+		return nil
+	}
+	return []Message{{Kind: Ack, From: t.self.row.Name, To: m.From, Want: []string{m.From}}}
+}
+
 // sender notes that the member was heard. It returns nil for one whose row is
 // not known.
 func (t *Table) sender(now time.Time, name string) *record {
@@ -70,9 +79,9 @@
 // would only be sent twice.
 func (t *Table) busyBuckets() [bucketCount]bool {
 	var busy [bucketCount]bool
-	for name, r := range t.records {
+	for _, r := range t.records {
 		if r.spreading() {
-			busy[bucketOf(name)] = true
+			busy[r.bucket] = true
 		}
 	}
 	return busy
@@ -80,9 +89,12 @@
 
 func (t *Table) digests(buckets []int) []Digest {
 	var list []Digest
-	for _, name := range t.names() {
-		if slices.Contains(buckets, bucketOf(name)) {
-			list = append(list, Digest{name, t.records[name].sum})
+	if len(buckets) == 0 {
+		return nil
+	}
+	for _, name := range t.order {
+		if r := t.records[name]; slices.Contains(buckets, r.bucket) {
+			list = append(list, Digest{name, r.sum})
 		}
 	}
 	return list
@@ -104,6 +116,7 @@
 			answer.Rows = append(answer.Rows, t.records[d.Name].row)
 		}
 	}
+	answer.Rows = append(answer.Rows, t.wanted(m)...)
 	if len(answer.Rows) == 0 && len(answer.Want) == 0 {
 		return nil
 	}
@@ -111,16 +124,22 @@
 }
 
 func (t *Table) answerSync(from *record, m Message) []Message {
-	answer := Message{Kind: Sync, From: t.self.row.Name, To: from.row.Name, Address: from.row.Address}
+	rows := t.wanted(m)
+	if len(rows) == 0 {
+		return nil
+	}
+	return []Message{{Kind: Sync, From: t.self.row.Name, To: from.row.Name, Address: from.row.Address, Rows: rows}}
+}
+
+// wanted returns the rows that the message asks for.
+func (t *Table) wanted(m Message) []Row {
+	var rows []Row
 	for _, name := range m.Want {
 		if r, ok := t.records[name]; ok {
-			answer.Rows = append(answer.Rows, r.row)
+			rows = append(rows, r.row)
 		}
 	}
-	if len(answer.Rows) == 0 {
-		return nil
-	}
-	return []Message{answer}
+	return rows
 }
 
 // mergeRow adopts what is new in the row.
@@ -135,7 +154,7 @@
 	}
 	if !ok {
 		r = &record{since: now}
-		t.records[row.Name] = r
+		t.insert(row.Name, r)
 		t.adopt(r, row)
 		return
 	}
--- a/pkg/member/row.go
+++ b/pkg/member/row.go
@@ -80,6 +80,7 @@
 type record struct {
 	row    Row
 	sum    uint32
+	bucket int
 	since  time.Time      // when the status was adopted
 	heard  time.Time      // last message straight from the member
 	pinged time.Time      // first ping that it has not answered; zero when none
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,7 +23,7 @@
 
 const (
 	defaultInterval  = time.Second
-	defaultSpread    = 4
+	defaultSpread    = 3
 	defaultMaxBytes  = 1200
 	suspectIntervals = 2
 	deadIntervals    = 3
@@ -66,6 +65,7 @@
 	config   Config
 	self     *record
 	records  map[string]*record // members of the same data centre, with this one
+	order    []string           // sorted names of the records
 	contacts map[string]*record // a few members of each other data centre
 	version  uint64             // newest version of an own item
 	ticks    int
@@ -83,12 +83,13 @@
 	t.self = &record{}
 	t.self.update(c.Self)
 	t.self.travel(t.config.Spread, true)
-	t.records[c.Self.Name] = t.self
+	t.insert(c.Self.Name, t.self)
 	return t
 }
 
 // Add tells the table of an instance, such as one that joined on the log. It
-// changes nothing when the table knows the same run or a newer one.
+// changes nothing when the table knows the same run or a newer one. Since the
+// others learn it the same way, it does not travel.
 func (t *Table) Add(now time.Time, row Row) {
 	row.Items = nil
 	if row.DataCentre != t.self.row.DataCentre {
@@ -100,12 +101,13 @@
 		return
 	}
 	t.mergeRow(now, row)
+	t.records[row.Name].status = 0
 }
 
 // Remove forgets an instance, such as one that left on the log.
 func (t *Table) Remove(name string) {
 	if name != t.self.row.Name {
-		delete(t.records, name)
+		t.delete(name)
 		delete(t.contacts, name)
 	}
 }
@@ -134,7 +136,7 @@
 // or to have left, this instance among them, sorted by name.
 func (t *Table) Alive() []Row {
 	var rows []Row
-	for _, name := range t.names() {
+	for _, name := range t.order {
 		if r := t.records[name]; r.row.Status <= Suspect {
 			rows = append(rows, r.row)
 		}
@@ -145,7 +147,7 @@
 // Rows returns all members of the data centre that are remembered.
 func (t *Table) Rows() []Row {
 	var rows []Row
-	for _, name := range t.names() {
+	for _, name := range t.order {
 		rows = append(rows, t.records[name].row)
 	}
 	return rows
@@ -163,15 +165,29 @@
 	return rows
 }
 
-func (t *Table) names() []string { return slices.Sorted(maps.Keys(t.records)) }
+func (t *Table) insert(name string, r *record) {
+	r.bucket = bucketOf(name)
+	t.records[name] = r
+	i, _ := slices.BinarySearch(t.order, name)
+	t.order = slices.Insert(t.order, i, name)
+}
+
+func (t *Table) delete(name string) {
+	i, ok := slices.BinarySearch(t.order, name)
+	if !ok {
+		return
+	}
+	delete(t.records, name)
+	t.order = slices.Delete(t.order, i, i+1)
+}
 
 // bucketOf spreads members over the checksums of a message.
 func bucketOf(name string) int { return int(xxhash.Sum64String(name) % bucketCount) }
 
 func (t *Table) sums() []uint32 {
 	sums := make([]uint32, bucketCount)
-	for name, r := range t.records {
-		sums[bucketOf(name)] ^= r.sum
+	for _, r := range t.records {
+		sums[r.bucket] ^= r.sum
 	}
 	return sums
 }
@@ -188,11 +204,10 @@
 // the given one.
 func (t *Table) others(worst Status) []string {
 	var names []string
-	for name, r := range t.records {
-		if r != t.self && r.row.Status <= worst {
+	for _, name := range t.order {
+		if r := t.records[name]; r != t.self && r.row.Status <= worst {
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, strings.Compare)
 	return names
 }
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -20,13 +20,16 @@
 	t.lastTick = now
 	t.judge(now)
 	var messages []Message
-	for _, name := range t.targets() {
+	compare := t.randomMember()
+	for _, name := range t.targets(compare) {
 		r := t.records[name]
 		if r.pinged.IsZero() {
 			r.pinged = now
 		}
 		m := t.message(Ping, r)
-		m.Sums = t.sums()
+		if name == compare {
+			m.Sums = t.sums()
+		}
 		messages = append(messages, m)
 	}
 	if m, ok := t.pingContact(now); ok {
@@ -44,7 +47,7 @@
 }
 
 func (t *Table) judge(now time.Time) {
-	for _, name := range t.names() {
+	for _, name := range slices.Clone(t.order) {
 		r := t.records[name]
 		if r == t.self {
 			continue
@@ -56,20 +59,29 @@
 		case r.row.Status == Suspect && age >= t.config.DeadAfter:
 			t.setStatus(now, r, Dead)
 		case r.row.Status >= Dead && age >= t.config.ForgetAfter:
-			delete(t.records, name)
+			t.delete(name)
 		}
 	}
 }
 
+// randomMember returns a random other member that is not dead, or "".
+func (t *Table) randomMember() string {
+	names := t.others(Suspect)
+	if len(names) == 0 {
+		return ""
+	}
+	return names[t.config.Rand(len(names))]
+}
+
 // targets returns the members to ping: the neighbours on the ring up to the
-// first one that is alive, a random one, those with a ping unanswered, and now
+// first one that is alive, the random one, those with a ping unanswered, and now
 // and then a dead one, so that two halves of a healed partition meet.
-func (t *Table) targets() []string {
+func (t *Table) targets(random string) []string {
 	chosen := make(map[string]bool)
 	names := t.others(Suspect)
 	t.chooseNeighbours(names, chosen)
-	if len(names) > 0 {
-		chosen[names[t.config.Rand(len(names))]] = true
+	if random != "" {
+		chosen[random] = true
 	}
 	for _, name := range names {
 		r := t.records[name]
@@ -161,7 +173,7 @@
 
 func (t *Table) spreading() []*record {
 	var list []*record
-	for _, name := range t.names() {
+	for _, name := range t.order {
 		if r := t.records[name]; r.spreading() {
 			list = append(list, r)
 		}
