group: rapid machine over racing controllers, and claims that are given up

A claim whose epoch had passed, or whose holder lost its lease before sending, stayed open and kept its server apart for good; the Issuer now gives it up.

--- a/pkg/group/controller_test.go
+++ b/pkg/group/controller_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -117,3 +118,158 @@
 		})
 	}
 }
+
+// A member restarts with the same address between the check and the response,
+// and a late order has already put its new run into the same epoch.
+func TestRestartBetweenCheckAndResponse(t *testing.T) {
+	for disabled, passes := range map[guard]bool{0: false, guardBoot: true} {
+		b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+		b.rounds(8)
+		check := Check{disabled: disabled}
+		ticket, err := check.Whole(b.state, "g1", b.input.Reports, b.now)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		answer := Answer{Server: "s1", BootID: "s1-1", Group: "g1", Epoch: ticket.Epoch}
+		g.Expect(check.StillWhole(b.state, ticket, b.input.Reports, answer)).To(Succeed())
+		answer.BootID = "s1-2"
+		g.Expect(check.StillWhole(b.state, ticket, b.input.Reports, answer) == nil).To(Equal(passes))
+		r := b.input.Reports["s1"]
+		r.BootID = "s1-2"
+		b.input.Reports["s1"] = r
+		_, err = check.Whole(b.state, "g1", b.input.Reports, b.now)
+		g.Expect(err == nil).To(Equal(passes))
+	}
+}
+
+func TestQuarantinedMember(t *testing.T) {
+	for disabled, passes := range map[guard]bool{0: false, guardQuarantine: true} {
+		b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+		b.rounds(8)
+		b.append(placement.Record{ID: "q", Body: placement.SetQuarantine{Server: "s2", Reason: "by an operator"}})
+		_, err := Check{disabled: disabled}.Whole(b.state, "g1", b.input.Reports, b.now)
+		NewWithT(t).Expect(err == nil).To(Equal(passes))
+	}
+}
+
+// lostOnce loses the answer of the first order to the server.
+func (b *bench) lostOnce(server string, obeyed bool) {
+	send := b.issuer.Send
+	b.issuer.Send = func(ctx context.Context, o Order) error {
+		if o.Server != server {
+			return send(ctx, o)
+		}
+		b.issuer.Send = send
+		if obeyed {
+			_ = send(ctx, o)
+		}
+		return context.DeadlineExceeded
+	}
+}
+
+func TestLostOrderAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		obeyed bool
+		want   []string
+	}{
+		{"the server obeyed and goes on", true, []string{"s1", "s2"}},
+		{"the server may obey later and is replaced", false, []string{"s1", "s3"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+			b.lostOnce("s2", tt.obeyed)
+			b.rounds(14)
+			g := NewWithT(t)
+			g.Expect(b.whole("g1")).To(Succeed())
+			wantMembers(t, b, "g1", tt.want...)
+			_, apart := b.state.Quarantine("s2")
+			g.Expect(apart).To(Equal(!tt.obeyed))
+			b.restarts("s2")
+			b.rounds(3)
+			_, apart = b.state.Quarantine("s2")
+			g.Expect(apart).To(BeFalse(), "a new run ends the quarantine")
+		})
+	}
+}
+
+// The holder of a claim pauses before it sends. Nobody else takes its place until
+// the platform lists it as gone.
+func TestPausedClaimant(t *testing.T) {
+	b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+	other := placement.Process{Name: "e2", BootID: "e2-1"}
+	b.append(placement.Record{ID: "join", Body: placement.EntryJoin{Process: other}})
+	b.round()
+	g1, _ := b.state.Group("g1")
+	b.append(placement.Record{ID: "claim", Presumes: g1.Epoch, Body: placement.OrderClaim{Server: "s2", Group: "g1", Claimant: other}})
+	b.loses("s1")
+	b.rounds(6)
+	g := NewWithT(t)
+	g.Expect(b.whole("g1")).NotTo(Succeed())
+	_, held := b.state.Claim("s2")
+	g.Expect(held).To(BeTrue())
+	b.input.Ended = []placement.Process{other}
+	b.rounds(12)
+	g.Expect(b.whole("g1")).To(Succeed())
+	wantMembers(t, b, "g1", "s3", "s4")
+}
+
+// Claims that nobody will use any more are given up, so that no server stays
+// apart.
+func TestUnusedClaims(t *testing.T) {
+	b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+	b.round()
+	b.input.State = b.state
+	for _, r := range b.control.Decide(b.input).Records {
+		b.append(r)
+	}
+	g := NewWithT(t)
+	g.Expect(b.state.Claims()).To(HaveLen(2))
+	b.input.Desired = nil
+	b.rounds(5)
+	g.Expect(b.state.Claims()).To(BeEmpty())
+	g.Expect(b.state.Quarantines()).To(BeEmpty())
+
+	b = newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+	b.round()
+	b.input.State = b.state
+	for _, r := range b.control.Decide(b.input).Records {
+		b.append(r)
+	}
+	b.issuer.Abandon(b.state)
+	for _, o := range b.control.Decide(b.input).Orders {
+		g.Expect(b.issuer.Issue(t.Context(), b.state, o)).To(Succeed(), "an abandoned order is dropped")
+	}
+	for _, r := range b.issuer.Pending(b.state) {
+		b.append(r)
+	}
+	g.Expect(b.state.Claims()).To(BeEmpty())
+	g.Expect(b.input.Reports["s1"].Epoch).To(BeZero())
+}
+
+func TestDrainAndDissolve(t *testing.T) {
+	b := newBench(twoDomains(true), []fleet.Group{desired("g1", "s1", "s2")})
+	b.rounds(8)
+	b.input.InFlight = map[string]int{"g1": 1}
+	b.input.Desired = nil
+	b.rounds(5)
+	g := NewWithT(t)
+	g.Expect(b.whole("g1")).To(MatchError(ContainSubstring("Draining")))
+	b.input.InFlight = nil
+	b.rounds(2)
+	g.Expect(b.state.Groups()).To(BeEmpty())
+}
+
+// A controller that hears almost nobody changes no group.
+func TestBlindController(t *testing.T) {
+	b := newBench(twoDomains(true), []fleet.Group{desired("g1", "s1", "s2")})
+	b.rounds(8)
+	for _, s := range b.input.Servers {
+		b.silent[s.Name] = true
+	}
+	b.rounds(10)
+	g1, _ := b.state.Group("g1")
+	NewWithT(t).Expect(g1.Phase).To(Equal(placement.PhaseServing))
+	NewWithT(t).Expect(b.whole("g1")).NotTo(Succeed())
+	wantMembers(t, b, "g1", "s1", "s2")
+}
--- a/pkg/group/issuer.go
+++ b/pkg/group/issuer.go
@@ -78,23 +78,45 @@
 }
 
 func (i *Issuer) finish(o Order, err error) {
-	release := placement.OrderRelease{Server: o.Server, Claimant: i.Self}
+	outcome := placement.OutcomeUnknown
 	switch {
 	case err == nil:
-		release.Outcome = placement.OutcomeApplied
+		outcome = placement.OutcomeApplied
 	case errors.Is(err, ErrNotSent) || !i.on(guardUnknown):
-		release.Outcome = placement.OutcomeNotSent
+		outcome = placement.OutcomeNotSent
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.record(o.Server, o.Claim, outcome)
+}
+
+// record keeps the release of a claim. The caller holds the mutex.
+func (i *Issuer) record(server string, claim journal.Offset, outcome placement.Outcome) {
 	if i.outcomes == nil {
 		i.outcomes = make(map[journal.Offset]placement.Record)
 	}
-	i.outcomes[o.Claim] = placement.Record{
+	i.outcomes[claim] = placement.Record{
 		ID:       i.NewID(),
-		Presumes: o.Claim,
+		Presumes: claim,
 		Writer:   i.Self.Name,
-		Body:     release,
+		Body:     placement.OrderRelease{Server: server, Claimant: i.Self, Outcome: outcome},
+	}
+}
+
+// Abandon gives up this process's claims that were not sent yet, such as when
+// its lease has lapsed. Their orders are never sent.
+func (i *Issuer) Abandon(s placement.State) {
+	i.abandon(s, func(placement.Claim) bool { return true })
+}
+
+func (i *Issuer) abandon(s placement.State, given func(placement.Claim) bool) {
+	for _, claim := range s.Claims() {
+		if claim.Claimant != i.Self || !given(claim) || !i.begin(claim.Offset) {
+			continue
+		}
+		i.mu.Lock()
+		i.record(claim.Server, claim.Offset, placement.OutcomeNotSent)
+		i.mu.Unlock()
 	}
 }
 
@@ -106,8 +128,13 @@
 }
 
 // Pending returns the releases of claims that are still open in the state.
-// Append them until none is left; a record's ID stays the same.
+// Append them until none is left; a record's ID stays the same. Claims of an
+// epoch that has passed are given up first.
 func (i *Issuer) Pending(s placement.State) []placement.Record {
+	i.abandon(s, func(c placement.Claim) bool {
+		g, _ := s.Group(c.Group)
+		return g.Epoch != c.Epoch
+	})
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	var records []placement.Record
--- /dev/null
+++ b/pkg/group/oracle_test.go
@@ -0,0 +1,66 @@
+package group
+
+import (
+	"flag"
+	"os"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes rapid's seed and the number of its checks, unless the command
+// line sets them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{
+		"rapid.seed":       "1",
+		"rapid.checks":     "400",
+		"rapid.steps":      "120",
+		"rapid.shrinktime": "1ms",
+		"rapid.nofailfile": "true",
+	}
+	for name, value := range fixed {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// wantViolation passes when the property fails, which it has to do with a guard
+// switched off.
+func wantViolation(t *testing.T, prop func(*rapid.T)) {
+	t.Helper()
+	r := &recorder{T: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(r, prop)
+	}()
+	<-done
+	if !r.failed {
+		t.Error("the oracle found no violation with the guard off")
+	}
+}
+
+// recorder keeps a property's failure from failing the test.
+type recorder struct {
+	*testing.T
+	failed bool
+}
+
+func (r *recorder) Log(...any)            {}
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Fatal(...any)          { r.FailNow() }
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+
+// FailNow ends the goroutine of rapid.Check.
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
