--- a/pkg/group/controller.go
+++ b/pkg/group/controller.go
@@ -37,7 +37,6 @@
 	NewID     func() string // IDs of records
 
 	disabled guard
-	loadAll  bool // order all loads at once, as a baseline
 }
 
 // Input is all that a decision depends on.
--- a/pkg/group/load.go
+++ b/pkg/group/load.go
@@ -38,7 +38,7 @@
 	slots := p.maxLoads() - loading
 	for _, w := range list {
 		for _, rank := range w.waiting {
-			if slots <= 0 && !p.loadAll {
+			if slots <= 0 {
 				return
 			}
 			if p.order(w.group, rank) {
