--- /dev/null
+++ b/internal/measure/groups_rolling.go
@@ -0,0 +1,221 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/lease"
+	"github.com/chicorystall/chicorystall/pkg/placement"
+)
+
+const (
+	rollingTick      = 100 * time.Millisecond
+	rollingInstances = 9
+	rollingStart     = 20 * time.Second
+	rollingEvery     = 20 * time.Second
+	rollingEnd       = rollingStart + (rollingInstances+2)*rollingEvery
+	rollingDuties    = 16 // each is run on its own, since chance places it
+	rollingLease     = 10 * time.Second
+	logDelay         = 200 * time.Millisecond // from an append to its entry at all readers
+	deathNoticed     = 8 * time.Second        // by the membership's heartbeats
+	listDelay        = 30 * time.Second       // of the platform's list
+)
+
+// rollingRun replaces all entry instances of a data centre one by one, while
+// one of them holds the duty to control groups.
+type rollingRun struct {
+	duty    string
+	now     time.Duration
+	holders map[string]*lease.Holder
+	died    map[placement.Process]time.Duration
+	gone    map[placement.Process]bool
+	state   placement.State
+	log     []logged
+	records int
+	ids     int
+	gap     time.Duration // that goes on
+	longest time.Duration
+	total   time.Duration
+	gaps    int
+}
+
+// logged is a record on its way to the readers.
+type logged struct {
+	at     time.Duration
+	record placement.Record
+}
+
+// RollingReplacement measures how long nobody controls groups while all entry
+// instances are replaced one after the other.
+func RollingReplacement(seed uint64) Table {
+	t := Table{
+		Name:    "rolling replacement",
+		Seed:    seed,
+		Columns: []string{"way", "gaps", "longest s", "total s", "records", "records/s"},
+		Note: fmt.Sprintf("%d entry instances, one replaced every %s; lease %s; a record is read after %s, a death noticed after %s, listed after %s. Gaps and records are means of %d duties, the longest is of all. "+
+			"A group that is whole goes on taking work without control; a repair waits for the end of the gap.",
+			rollingInstances, rollingEvery, rollingLease, logDelay, deathNoticed, listDelay, rollingDuties),
+	}
+	t.Rows = append(t.Rows,
+		rollingRow(seed, "leave in order", true, true),
+		rollingRow(seed, "leave, lease left to lapse (baseline)", true, false),
+		rollingRow(seed, "killed", false, false))
+	return t
+}
+
+func rollingRow(seed uint64, label string, leaves, releases bool) []string {
+	var total, longest time.Duration
+	gaps, records := 0, 0
+	for i := range rollingDuties {
+		r := newRollingRun(fmt.Sprintf("duty-%d-%d", seed, i))
+		r.play(leaves, releases)
+		total += r.total
+		longest = max(longest, r.longest)
+		gaps += r.gaps
+		records += r.records
+	}
+	rate := float64(records) / rollingDuties / rollingEnd.Seconds()
+	return []string{label, fmt.Sprintf("%.1f", float64(gaps)/rollingDuties), fmt.Sprintf("%.1f", longest.Seconds()),
+		fmt.Sprintf("%.1f", total.Seconds()/rollingDuties), fmt.Sprint(records / rollingDuties), fmt.Sprintf("%.2f", rate)}
+}
+
+func newRollingRun(duty string) *rollingRun {
+	r := &rollingRun{
+		duty:    duty,
+		holders: make(map[string]*lease.Holder),
+		died:    make(map[placement.Process]time.Duration),
+		gone:    make(map[placement.Process]bool),
+	}
+	for i := range rollingInstances {
+		r.join(fmt.Sprintf("entry-%d", i))
+	}
+	return r
+}
+
+func (r *rollingRun) play(leaves, releases bool) {
+	for r.now < rollingEnd {
+		r.now += rollingTick
+		after := r.now - rollingStart
+		if i := int(after / rollingEvery); after >= 0 && after%rollingEvery == 0 && i < rollingInstances {
+			r.replace(fmt.Sprintf("entry-%d", i), fmt.Sprintf("entry-%d", rollingInstances+i), leaves, releases)
+		}
+		r.step()
+	}
+}
+
+func (r *rollingRun) newID() string {
+	r.ids++
+	return fmt.Sprint(r.ids)
+}
+
+func (r *rollingRun) append(presumes journal.Offset, body placement.Body) {
+	r.log = append(r.log, logged{r.now + logDelay, placement.Record{ID: r.newID(), Presumes: presumes, Body: body}})
+}
+
+func (r *rollingRun) join(name string) {
+	p := placement.Process{Name: name, BootID: "1"}
+	r.holders[name] = &lease.Holder{Duty: r.duty, Self: p, Duration: rollingLease, Now: r.clock, NewID: r.newID}
+	r.append(0, placement.EntryJoin{Process: p})
+}
+
+func (r *rollingRun) clock() time.Time { return time.Unix(0, 0).Add(r.now) }
+
+// replace ends one entry instance and starts another.
+func (r *rollingRun) replace(old, next string, leaves, releases bool) {
+	h := r.holders[old]
+	e, _ := r.state.Entry(old)
+	if releases {
+		if rec, ok := h.Step(r.state, without(r.alive(), old)); ok {
+			r.log = append(r.log, logged{r.now + logDelay, rec})
+		}
+		r.append(e.Joined, placement.EntryLeave{Process: h.Self})
+	}
+	delete(r.holders, old)
+	r.died[h.Self] = r.now
+	if leaves {
+		r.died[h.Self] = r.now - deathNoticed + rollingTick
+	}
+	r.join(next)
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(n string) bool { return n == name })
+}
+
+// alive returns the entry instances that the heartbeats show.
+func (r *rollingRun) alive() []string {
+	var names []string
+	table, _ := r.state.Table()
+	for _, m := range table.Members {
+		at, died := r.died[m.Process]
+		if !died || r.now-at < deathNoticed {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (r *rollingRun) step() {
+	r.read()
+	r.list()
+	alive := r.alive()
+	for _, name := range slices.Sorted(maps.Keys(r.holders)) {
+		rec, ok := r.holders[name].Step(r.state, alive)
+		if ok && !r.onItsWay(rec.ID) {
+			r.log = append(r.log, logged{r.now + logDelay, rec})
+		}
+	}
+	r.account()
+}
+
+func (r *rollingRun) onItsWay(id string) bool {
+	return slices.ContainsFunc(r.log, func(l logged) bool { return l.record.ID == id })
+}
+
+func (r *rollingRun) read() {
+	for len(r.log) > 0 && r.log[0].at <= r.now {
+		data, err := r.log[0].record.Encode()
+		if err != nil {
+			panic(err)
+		}
+		r.log = r.log[1:]
+		r.records++
+		r.state, _ = r.state.Apply(journal.Entry{Offset: journal.Offset(r.records), Data: data})
+	}
+}
+
+// list records the deaths that the platform's list shows.
+func (r *rollingRun) list() {
+	for p, at := range r.died {
+		if r.now-at < listDelay || r.gone[p] || !r.state.Member(p) {
+			continue
+		}
+		r.gone[p] = true
+		e, _ := r.state.Entry(p.Name)
+		r.append(e.Joined, placement.EntryGone{Process: p})
+	}
+}
+
+// account notes whether anybody may act for the duty.
+func (r *rollingRun) account() {
+	if r.now < rollingStart {
+		return
+	}
+	for _, h := range r.holders {
+		held := h.Act(context.Background(), func(context.Context, journal.Offset) error { return nil }) == nil
+		if held {
+			r.gap = 0
+			return
+		}
+	}
+	if r.gap == 0 {
+		r.gaps++
+	}
+	r.gap += rollingTick
+	r.total += rollingTick
+	r.longest = max(r.longest, r.gap)
+}
