limit, queue, route: API of the load decisions

The daemon needs the types that bound and place work. limit splits each backend server's limit over the members of a data centre and lends within it, queue is a bounded fair queue with a blocking gate, route chooses a group from an immutable view.

--- /dev/null
+++ b/pkg/limit/amount.go
@@ -0,0 +1,58 @@
+package limit
+
+// Amount is an amount of work at a backend server.
+type Amount struct {
+	Requests int
+	Tokens   int // estimated KV cache tokens of prompt and output
+}
+
+// IsZero reports whether the amount is nothing.
+func (a Amount) IsZero() bool { return a == Amount{} }
+
+// Plus returns the sum of both amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens}
+}
+
+// Minus returns a less b; its fields can be negative.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{Requests: a.Requests - b.Requests, Tokens: a.Tokens - b.Tokens}
+}
+
+// Min returns the smaller of both amounts in each field.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{Requests: min(a.Requests, b.Requests), Tokens: min(a.Tokens, b.Tokens)}
+}
+
+// Positive returns the amount with negative fields set to 0.
+func (a Amount) Positive() Amount {
+	return Amount{Requests: max(a.Requests, 0), Tokens: max(a.Tokens, 0)}
+}
+
+// FitsIn reports whether no field of a is above that of b.
+func (a Amount) FitsIn(b Amount) bool {
+	return a.Requests <= b.Requests && a.Tokens <= b.Tokens
+}
+
+// Limit bounds what a backend server is given at one time.
+type Limit struct {
+	InFlight     int // requests, when warm
+	Tokens       int // KV cache tokens
+	ColdInFlight int // requests, in cold start; 0 counts as 1
+}
+
+func (l Limit) cold() int {
+	return min(max(l.ColdInFlight, 1), l.InFlight)
+}
+
+// Limits holds the configured limits of all backend servers of a data centre.
+type Limits struct {
+	Version  int64 // offset of the configuration record; it only grows
+	Backends map[string]Limit
+}
+
+// Version identifies a table together with the limits that it splits.
+type Version struct {
+	Epoch  int64
+	Limits int64
+}
--- /dev/null
+++ b/pkg/limit/ledger.go
@@ -0,0 +1,289 @@
+package limit
+
+import (
+	"maps"
+	"slices"
+)
+
+// Ledger is one member's book of what it may send to each backend server. The
+// zero value with Self set is ready to use. It is not safe for concurrent use.
+type Ledger struct {
+	Self Member
+
+	binding  []plan // plans that bind, newest last; the first is empty for a newcomer
+	awaited  map[Member]bool
+	settled  map[Member]Version
+	gone     map[Member]bool
+	own      Version // newest version that this member settled into
+	seq      int64
+	tickets  int64
+	current  map[string]string // backend server to boot ID
+	accounts map[key]*account
+	held     map[LoanID]loan // loans from others
+	pending  map[LoanID]loan // requests without a final reply
+	lent     map[LoanID]loan // loans to others
+	peers    map[Member]*peer
+	disabled guard
+}
+
+// plan is a table with the limits that it splits.
+type plan struct {
+	table  Table
+	limits Limits
+}
+
+func (p plan) version() Version {
+	return Version{Epoch: p.table.Epoch, Limits: p.limits.Version}
+}
+
+// key names one life of a backend server.
+type key struct {
+	backend string
+	boot    string
+}
+
+type loan struct {
+	key
+	lender    Member
+	amount    Amount
+	seq       int64 // number of the request
+	coldEpoch int64
+}
+
+// peer is what a ledger knows of another member.
+type peer struct {
+	seq   int64 // newest statement from it
+	acked int64 // newest statement that it has from this ledger
+}
+
+// guard is a set of safety rules that tests switch off.
+type guard uint
+
+const (
+	guardMinimum   guard = 1 << iota // keep to the smallest share that binds
+	guardSettle                      // wait for the members of old tables
+	guardLent                        // count what is lent
+	guardSequence                    // ignore statements that were overtaken
+	guardCold                        // start a new boot ID at the cold level
+	guardOutsider                    // settle only without loans from outside the table
+	guardExact                       // count a settled member for the exact version only
+	guardAbandoned                   // refuse a loan that was given up
+)
+
+func (l *Ledger) on(g guard) bool { return l.disabled&g == 0 }
+
+// Version returns the newest version that the ledger follows.
+func (l *Ledger) Version() Version { return l.newest().version() }
+
+func (l *Ledger) newest() plan {
+	if len(l.binding) == 0 {
+		return plan{}
+	}
+	return l.binding[len(l.binding)-1]
+}
+
+// SetTable follows a new table. An older one has no effect.
+func (l *Ledger) SetTable(t Table) Outbox {
+	next := l.newest()
+	if t.Epoch <= next.table.Epoch {
+		return Outbox{}
+	}
+	next.table = t
+	return l.follow(next)
+}
+
+// SetLimits follows new configured limits. Older ones have no effect.
+func (l *Ledger) SetLimits(limits Limits) Outbox {
+	next := l.newest()
+	if limits.Version <= next.limits.Version {
+		return Outbox{}
+	}
+	next.limits = limits
+	return l.follow(next)
+}
+
+func (l *Ledger) follow(next plan) Outbox {
+	l.init()
+	previous := l.newest()
+	if len(l.binding) == 0 {
+		l.binding = append(l.binding, plan{})
+	}
+	l.binding = append(l.binding, next)
+	for _, members := range [][]Member{previous.table.Members, next.table.Members, next.table.Former} {
+		for _, m := range members {
+			l.awaited[m] = true
+		}
+	}
+	delete(l.awaited, l.Self)
+	return l.progress()
+}
+
+func (l *Ledger) init() {
+	if l.accounts != nil {
+		return
+	}
+	l.awaited = make(map[Member]bool)
+	l.settled = make(map[Member]Version)
+	l.gone = make(map[Member]bool)
+	l.current = make(map[string]string)
+	l.accounts = make(map[key]*account)
+	l.held = make(map[LoanID]loan)
+	l.pending = make(map[LoanID]loan)
+	l.lent = make(map[LoanID]loan)
+	l.peers = make(map[Member]*peer)
+}
+
+// MarkSettled notes that a member has settled into a version.
+func (l *Ledger) MarkSettled(m Member, v Version) Outbox {
+	l.init()
+	l.settled[m] = v
+	return l.progress()
+}
+
+// MarkGone notes that the member's process has certainly ended: the platform
+// lists it as gone, or a newer boot ID has replaced it.
+func (l *Ledger) MarkGone(m Member) Outbox {
+	l.init()
+	if m == l.Self {
+		return Outbox{}
+	}
+	l.gone[m] = true
+	l.takeBack(m)
+	return l.progress()
+}
+
+// takeBack ends all loans to a member.
+func (l *Ledger) takeBack(m Member) {
+	for id := range l.lent {
+		if id.Borrower == m {
+			l.endLent(id)
+		}
+	}
+	for _, a := range l.accounts {
+		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.request.ID.Borrower == m })
+	}
+}
+
+// Settled reports whether this member keeps to the newest table and limits: on
+// every backend server what it has in flight and lent fits in the share, and it
+// uses no loan of a lender outside the table.
+func (l *Ledger) Settled() bool {
+	if len(l.binding) == 0 {
+		return false
+	}
+	v := l.Version()
+	if l.own == v {
+		return true
+	}
+	if !l.fits() {
+		return false
+	}
+	l.own = v
+	return true
+}
+
+func (l *Ledger) fits() bool {
+	for _, a := range l.accounts {
+		if !a.ownUse().Plus(a.lent).FitsIn(a.share) {
+			return false
+		}
+	}
+	if !l.on(guardOutsider) {
+		return true
+	}
+	members := l.newest().table.Members
+	for _, loan := range l.held {
+		if !slices.Contains(members, loan.lender) {
+			return false
+		}
+	}
+	return true
+}
+
+// Activated reports whether only the newest table and limits bind.
+func (l *Ledger) Activated() bool { return len(l.binding) == 1 }
+
+// Awaited returns the members that keep the older tables binding.
+func (l *Ledger) Awaited() []Member {
+	if l.Activated() {
+		return nil
+	}
+	var waiting []Member
+	for m := range l.awaited {
+		if !l.hasSettled(m) {
+			waiting = append(waiting, m)
+		}
+	}
+	return waiting
+}
+
+func (l *Ledger) hasSettled(m Member) bool {
+	if l.gone[m] || !l.on(guardSettle) {
+		return true
+	}
+	v, want := l.settled[m], l.Version()
+	if !l.on(guardExact) {
+		return v.Epoch >= want.Epoch && v.Limits >= want.Limits
+	}
+	return v == want
+}
+
+// progress applies what changed and drops the older plans once it may.
+func (l *Ledger) progress() Outbox {
+	l.reckon()
+	if len(l.binding) > 1 && l.Settled() && len(l.Awaited()) == 0 {
+		l.binding = l.binding[len(l.binding)-1:]
+		clear(l.awaited)
+		l.reckon()
+	}
+	var out Outbox
+	for _, k := range l.sortedKeys() {
+		out.add(l.serveWaiting(l.accounts[k]))
+	}
+	return out
+}
+
+func (l *Ledger) sortedKeys() []key {
+	return slices.SortedFunc(maps.Keys(l.accounts), func(a, b key) int {
+		if a.backend != b.backend {
+			return compare(a.backend, b.backend)
+		}
+		return compare(a.boot, b.boot)
+	})
+}
+
+// reckon recomputes the share of every account.
+func (l *Ledger) reckon() {
+	for _, a := range l.accounts {
+		a.share = l.shareOf(a)
+	}
+}
+
+// shareOf returns the smallest share among the plans that bind.
+func (l *Ledger) shareOf(a *account) Amount {
+	plans := l.binding
+	if !l.on(guardMinimum) && len(plans) > 0 {
+		plans = plans[len(plans)-1:]
+	}
+	if len(plans) == 0 {
+		return Amount{}
+	}
+	smallest := l.shareIn(plans[0], a)
+	for _, p := range plans[1:] {
+		smallest = smallest.Min(l.shareIn(p, a))
+	}
+	return smallest
+}
+
+func (l *Ledger) shareIn(p plan, a *account) Amount {
+	limit := p.limits.Backends[a.backend]
+	rank, ok := p.table.Rank(a.backend, l.Self)
+	if !ok {
+		return Amount{}
+	}
+	n := len(p.table.Members)
+	return Amount{
+		Requests: share(min(limit.InFlight, a.bears(limit)), n, rank),
+		Tokens:   share(limit.Tokens, n, rank),
+	}
+}
--- /dev/null
+++ b/pkg/limit/loan.go
@@ -0,0 +1,180 @@
+package limit
+
+import "slices"
+
+// Borrow makes a request for a loan from the lender.
+func (l *Ledger) Borrow(backend string, lender Member, amount Amount, wait bool) LoanRequest {
+	a := l.account(key{backend, l.current[backend]})
+	l.seq++
+	id := LoanID{Borrower: l.Self, Number: l.seq}
+	l.pending[id] = loan{key: a.key, lender: lender, seq: l.seq, coldEpoch: a.level.coldEpoch}
+	return LoanRequest{ID: id, Lender: lender, Backend: backend, Boot: a.boot, Amount: amount, Wait: wait}
+}
+
+// Accept takes a lender's reply and reports whether the loan can be used. A
+// reply to a request that was given up is refused; the returned message then
+// tells the lender at once.
+func (l *Ledger) Accept(r LoanReply) (bool, Outbox) {
+	l.init()
+	if _, ok := l.held[r.ID]; ok {
+		return true, Outbox{}
+	}
+	loan, ok := l.pending[r.ID]
+	if !ok && l.on(guardAbandoned) {
+		return false, Outbox{Returns: []Return{{Lender: r.Lender, Loans: []LoanID{r.ID}}}}
+	}
+	if r.Waiting {
+		return false, Outbox{}
+	}
+	delete(l.pending, r.ID)
+	if r.Granted.IsZero() {
+		return false, Outbox{}
+	}
+	if !ok {
+		loan = l.forgotten(r)
+	}
+	loan.amount = r.Granted
+	l.held[r.ID] = loan
+	a := l.account(loan.key)
+	a.borrowed = a.borrowed.Plus(loan.amount)
+	return true, Outbox{}
+}
+
+// forgotten stands in for a request that was given up, when that guard is off.
+func (l *Ledger) forgotten(r LoanReply) loan {
+	for k := range l.accounts {
+		return loan{key: k, lender: r.Lender, seq: r.ID.Number}
+	}
+	return loan{}
+}
+
+// GiveUp ends the wait for a reply, and returns the loan if it came but is not
+// in use.
+func (l *Ledger) GiveUp(id LoanID) Outbox {
+	l.init()
+	if loan, ok := l.pending[id]; ok {
+		delete(l.pending, id)
+		return Outbox{Returns: []Return{{Lender: loan.lender, Loans: []LoanID{id}}}}
+	}
+	loan, ok := l.held[id]
+	if !ok {
+		return Outbox{}
+	}
+	return l.returnIdle(l.account(loan.key))
+}
+
+// returnIdle returns the loans that the requests in flight do not need.
+func (l *Ledger) returnIdle(a *account) Outbox {
+	var out Outbox
+	for _, id := range l.heldFor(a) {
+		loan := l.held[id]
+		without := a.borrowed.Minus(loan.amount)
+		use := a.inFlight.Minus(without).Positive()
+		grows := use != a.ownUse()
+		if grows && !use.Plus(a.lent).FitsIn(a.share) {
+			continue
+		}
+		a.borrowed = without
+		delete(l.held, id)
+		out.Returns = append(out.Returns, Return{Lender: loan.lender, Loans: []LoanID{id}})
+	}
+	return out
+}
+
+func (l *Ledger) heldFor(a *account) []LoanID {
+	if a.borrowed.IsZero() {
+		return nil
+	}
+	var ids []LoanID
+	for id, loan := range l.held {
+		if loan.key == a.key {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(x, y LoanID) int { return int(x.Number - y.Number) })
+	return ids
+}
+
+// Lend answers a request for a loan.
+func (l *Ledger) Lend(r LoanRequest) LoanReply {
+	l.init()
+	reply := LoanReply{ID: r.ID, Lender: l.Self}
+	if loan, ok := l.lent[r.ID]; ok {
+		reply.Granted = loan.amount
+		return reply
+	}
+	overtaken := r.ID.Number < l.peer(r.ID.Borrower).seq
+	known := l.current[r.Backend] == r.Boot
+	if r.Lender != l.Self || l.gone[r.ID.Borrower] || overtaken || !known {
+		return reply
+	}
+	a := l.account(key{r.Backend, r.Boot})
+	queued := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.request.ID == r.ID })
+	if !queued && a.ticket == 0 && len(a.waiting) == 0 {
+		reply.Granted = l.lendTo(a, r, r.Amount.Min(a.lendable(l.on(guardLent))))
+	}
+	if !reply.Granted.IsZero() || !r.Wait {
+		return reply
+	}
+	reply.Waiting = true
+	if !queued {
+		l.tickets++
+		a.waiting = append(a.waiting, waiter{request: r, ticket: l.tickets})
+	}
+	return reply
+}
+
+func (l *Ledger) lendTo(a *account, r LoanRequest, granted Amount) Amount {
+	if granted.IsZero() || granted.Requests < r.Amount.Requests {
+		return Amount{}
+	}
+	l.lent[r.ID] = loan{key: a.key, lender: l.Self, amount: granted, seq: r.ID.Number}
+	a.lent = a.lent.Plus(granted)
+	return granted
+}
+
+// serveWaiting grants what has become free in the order of arrival. It stops at
+// the place of the member's own requests.
+func (l *Ledger) serveWaiting(a *account) Outbox {
+	var out Outbox
+	for len(a.waiting) > 0 {
+		first := a.waiting[0]
+		if a.ticket != 0 && a.ticket < first.ticket {
+			break
+		}
+		r := first.request
+		if !r.Amount.FitsIn(a.lendable(l.on(guardLent))) {
+			break
+		}
+		a.waiting = a.waiting[1:]
+		granted := l.lendTo(a, r, r.Amount)
+		out.Replies = append(out.Replies, LoanReply{ID: r.ID, Lender: l.Self, Granted: granted})
+	}
+	return out
+}
+
+func (l *Ledger) endLent(id LoanID) {
+	loan, ok := l.lent[id]
+	if !ok {
+		return
+	}
+	delete(l.lent, id)
+	a := l.account(loan.key)
+	a.lent = a.lent.Minus(loan.amount)
+}
+
+// Returned takes back loans that the borrower has returned.
+func (l *Ledger) Returned(r Return) Outbox {
+	l.init()
+	for _, id := range r.Loans {
+		l.endLent(id)
+		l.unqueue(id)
+	}
+	return l.progress()
+}
+
+func (l *Ledger) unqueue(id LoanID) {
+	for _, a := range l.accounts {
+		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.request.ID == id })
+	}
+}
--- /dev/null
+++ b/pkg/limit/permit.go
@@ -0,0 +1,136 @@
+package limit
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Permit allows one request to one life of a backend server. The request is
+// sent only over a connection on which the backend server told the same boot
+// ID.
+type Permit struct {
+	Backend string
+	Boot    string
+	Number  int64
+	Tokens  int
+}
+
+// Refusal says that a permit is not to be had at once.
+type Refusal struct {
+	Backend string
+	Missing Amount   // what a loan has to bring; zero when no loan helps
+	Lenders []Member // whom to ask, best first
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("backend server %q has no share left: %d requests and %d tokens are missing",
+		r.Backend, r.Missing.Requests, r.Missing.Tokens)
+}
+
+// Acquire takes a permit for a request of so many estimated tokens. A refusal
+// is a *Refusal; the member's own request then has a place among the waiting
+// until the next Acquire, or Abandon.
+func (l *Ledger) Acquire(backend string, tokens int) (Permit, error) {
+	a := l.account(key{backend, l.current[backend]})
+	need := Amount{Requests: 1, Tokens: tokens}
+	missing := l.missing(a, need)
+	if !missing.IsZero() {
+		return Permit{}, l.refuse(a, need, missing)
+	}
+	if a.ticket == 0 && len(a.waiting) > 0 {
+		return Permit{}, l.refuse(a, need, Amount{})
+	}
+	a.ticket = 0
+	a.inFlight = a.inFlight.Plus(need)
+	l.tickets++
+	a.permits[l.tickets] = tokens
+	return Permit{Backend: backend, Boot: a.boot, Number: l.tickets, Tokens: tokens}, nil
+}
+
+// missing returns by how much the need exceeds what is left.
+func (l *Ledger) missing(a *account, need Amount) Amount {
+	left := a.share.Plus(l.usableLoans(a)).Minus(a.inFlight)
+	if l.on(guardLent) {
+		left = left.Minus(a.lent)
+	}
+	missing := need.Minus(left).Positive()
+	if need.Tokens == 0 {
+		missing.Tokens = 0
+	}
+	return missing
+}
+
+// usableLoans sums the loans of the present cold epoch; older ones only run out.
+func (l *Ledger) usableLoans(a *account) Amount {
+	if a.borrowed.IsZero() {
+		return Amount{}
+	}
+	var sum Amount
+	for _, loan := range l.held {
+		if loan.key == a.key && loan.coldEpoch == a.level.coldEpoch {
+			sum = sum.Plus(loan.amount)
+		}
+	}
+	return sum
+}
+
+func (l *Ledger) refuse(a *account, need, missing Amount) *Refusal {
+	if a.ticket == 0 {
+		l.tickets++
+		a.ticket = l.tickets
+		a.ticketAge = 0
+	}
+	limit := l.newest().limits.Backends[a.backend]
+	if need.Tokens > limit.Tokens || missing.IsZero() {
+		return &Refusal{Backend: a.backend}
+	}
+	return &Refusal{Backend: a.backend, Missing: missing, Lenders: l.lenders(a, limit)}
+}
+
+// lenders returns the other members that have a share. Each borrower starts
+// after its own rank, so that they do not all ask the same one first.
+func (l *Ledger) lenders(a *account, limit Limit) []Member {
+	table := l.newest().table
+	order := table.Order(a.backend)
+	rank := slices.Index(order, l.Self)
+	var lenders []Member
+	for i := range order {
+		at := (rank + 1 + i) % len(order)
+		m := order[at]
+		hasShare := share(min(limit.InFlight, a.bears(limit)), len(order), at) > 0
+		if hasShare && m != l.Self && !l.gone[m] {
+			lenders = append(lenders, m)
+		}
+	}
+	return lenders
+}
+
+// Abandon gives up the place of the member's own requests among the waiting.
+func (l *Ledger) Abandon(backend string) Outbox {
+	a := l.account(key{backend, l.current[backend]})
+	a.ticket = 0
+	return l.serveWaiting(a)
+}
+
+// Release ends a permit. Completed says that the backend server answered whole,
+// which lets a cold one bear more. A second release has no effect.
+func (l *Ledger) Release(p Permit, completed bool) Outbox {
+	a := l.account(key{p.Backend, p.Boot})
+	tokens, ok := a.permits[p.Number]
+	if !ok {
+		return Outbox{}
+	}
+	delete(a.permits, p.Number)
+	a.inFlight = a.inFlight.Minus(Amount{Requests: 1, Tokens: tokens})
+	if completed {
+		l.complete(a)
+	}
+	out := l.returnIdle(a)
+	if l.Activated() {
+		out.add(l.serveWaiting(a))
+	} else {
+		out.add(l.progress())
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/limit/statement.go
@@ -0,0 +1,116 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxTicketAge is how many statements the place of the member's own requests
+// outlives without a new Acquire.
+const maxTicketAge = 2
+
+func (l *Ledger) peer(m Member) *peer {
+	p, ok := l.peers[m]
+	if !ok {
+		p = &peer{}
+		l.peers[m] = p
+	}
+	return p
+}
+
+// Statement makes the next statement to another member.
+func (l *Ledger) Statement(to Member) Statement {
+	l.init()
+	l.seq++
+	p := l.peer(to)
+	s := Statement{
+		From:    l.Self,
+		To:      to,
+		Seq:     l.seq,
+		Ack:     p.seq,
+		Version: l.Version(),
+		Settled: l.Settled(),
+	}
+	s.Loans = l.loansFrom(to)
+	for _, k := range l.sortedKeys() {
+		a := l.accounts[k]
+		if a.level.changed > p.acked {
+			s.Levels = append(s.Levels, l.reading(a))
+		}
+	}
+	return s
+}
+
+func (l *Ledger) reading(a *account) Level {
+	value := a.level.value
+	if a.level.warm {
+		value = l.newest().limits.Backends[a.backend].InFlight
+	}
+	return Level{
+		Backend:   a.backend,
+		Boot:      a.boot,
+		ColdEpoch: a.level.coldEpoch,
+		Value:     value,
+		Completed: a.level.completed,
+	}
+}
+
+func (l *Ledger) loansFrom(lender Member) []LoanID {
+	var ids []LoanID
+	for id, loan := range l.held {
+		if loan.lender == lender {
+			ids = append(ids, id)
+		}
+	}
+	for id, loan := range l.pending {
+		if loan.lender == lender {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b LoanID) int { return cmp.Compare(a.Number, b.Number) })
+	return ids
+}
+
+// Reconcile takes a statement of another member. One that a newer statement or
+// loan request has overtaken changes nothing that those said.
+func (l *Ledger) Reconcile(s Statement) Outbox {
+	l.init()
+	p := l.peer(s.From)
+	if s.To != l.Self || (s.Seq <= p.seq && l.on(guardSequence)) {
+		return Outbox{}
+	}
+	p.seq = max(p.seq, s.Seq)
+	p.acked = max(p.acked, s.Ack)
+	for id, loan := range l.lent {
+		older := loan.seq < s.Seq || !l.on(guardSequence)
+		if id.Borrower == s.From && older && !slices.Contains(s.Loans, id) {
+			l.endLent(id)
+		}
+	}
+	for _, a := range l.accounts {
+		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool {
+			id := w.request.ID
+			return id.Borrower == s.From && id.Number < s.Seq && !slices.Contains(s.Loans, id)
+		})
+	}
+	for _, reading := range s.Levels {
+		l.learn(s.From, reading)
+	}
+	if s.Settled {
+		l.settled[s.From] = s.Version
+	}
+	return l.progress()
+}
+
+// Tick ends places of the member's own requests that nobody renewed. The caller
+// calls it once for each round of statements.
+func (l *Ledger) Tick() Outbox {
+	l.init()
+	for _, a := range l.accounts {
+		a.ticketAge++
+		if a.ticketAge > maxTicketAge {
+			a.ticket = 0
+		}
+	}
+	return l.progress()
+}
--- /dev/null
+++ b/pkg/queue/gate.go
@@ -0,0 +1,143 @@
+package queue
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Gate lets blocking callers wait in a queue. Set Try before the first Wait; a
+// context ends each wait.
+type Gate struct {
+	Config Config
+	Now    func() time.Time // nil is time.Now
+	// Try takes a place for the first entry in the queue and reports whether it
+	// got one. It runs under the gate's lock and must not call the gate.
+	Try func(Entry) bool
+
+	mu     sync.Mutex
+	queue  Queue
+	nextID uint64
+	closed bool
+	calls  map[uint64]chan error
+}
+
+func (g *Gate) now() time.Time {
+	if g.Now == nil {
+		return time.Now()
+	}
+	return g.Now()
+}
+
+// Wait returns nil once Try has taken a place for the entry, a *Refusal, or the
+// context's error. The entry's ID is set by the gate.
+func (g *Gate) Wait(ctx context.Context, e Entry) error {
+	if deadline, ok := ctx.Deadline(); ok && e.Deadline.IsZero() {
+		e.Deadline = deadline
+	}
+	id, done, err := g.enter(e)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case err := <-done: // the outcome came first
+		return err
+	default:
+	}
+	g.queue.Remove(id)
+	delete(g.calls, id)
+	g.pump()
+	return ctx.Err()
+}
+
+func (g *Gate) enter(e Entry) (uint64, chan error, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return 0, nil, &Refusal{Reason: ReasonClosed, RetryAfter: minRetryAfter}
+	}
+	g.queue.Config = g.Config
+	g.nextID++
+	e.ID = g.nextID
+	displaced, err := g.queue.Push(g.now(), e)
+	if err != nil {
+		return 0, nil, err
+	}
+	if g.calls == nil {
+		g.calls = make(map[uint64]chan error)
+	}
+	done := make(chan error, 1)
+	g.calls[e.ID] = done
+	g.refuse(displaced, ReasonDisplaced)
+	g.pump()
+	return e.ID, done, nil
+}
+
+func (g *Gate) refuse(entries []Entry, reason Reason) {
+	for _, e := range entries {
+		wait := clampRetry(g.queue.Wait(e))
+		g.finish(e.ID, &Refusal{Reason: reason, RetryAfter: wait})
+	}
+}
+
+func (g *Gate) finish(id uint64, err error) {
+	if done, ok := g.calls[id]; ok {
+		done <- err
+		delete(g.calls, id)
+	}
+}
+
+// Wake serves as many entries as Try takes. Call it when a place may be free.
+func (g *Gate) Wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pump()
+}
+
+func (g *Gate) pump() {
+	g.refuse(g.queue.Expire(g.now()), ReasonDeadline)
+	for {
+		e, ok := g.queue.Peek()
+		if !ok || !g.Try(e) {
+			return
+		}
+		g.queue.Pop()
+		g.finish(e.ID, nil)
+	}
+}
+
+// Served notes finished work for the estimate of the wait, and wakes waiters.
+func (g *Gate) Served(cost int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Served(g.now(), cost)
+	g.pump()
+}
+
+// Len returns the number of waiting requests.
+func (g *Gate) Len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Len()
+}
+
+// Close refuses what waits and what comes later.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for {
+		e, ok := g.queue.Pop()
+		if !ok {
+			return
+		}
+		g.finish(e.ID, &Refusal{Reason: ReasonClosed, RetryAfter: minRetryAfter})
+	}
+}
--- /dev/null
+++ b/pkg/route/choose.go
@@ -0,0 +1,209 @@
+package route
+
+import (
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/limit"
+)
+
+const retryWhenFull = time.Second
+
+// Choose returns where a request runs. When nothing takes it, the decision is
+// zero and the refusal says why.
+func (v *View) Choose(r *Request) (Decision, *Refusal) {
+	c := v.route(r.Account, r.Model)
+	if c == nil {
+		return Decision{}, refuse(r, ReasonNotAllowed, 0)
+	}
+	if v.ownOpen {
+		if i, reason, ok := v.pick(c.own, r); ok {
+			return v.decide(i, r, reason), nil
+		}
+	}
+	if !r.Forwarded {
+		if i, ok := v.spill(c.foreign, r); ok {
+			return v.decide(i, r, ReasonSpill), nil
+		}
+	}
+	return Decision{}, v.refusal(c, r)
+}
+
+func (v *View) decide(i int32, r *Request, reason Reason) Decision {
+	g := &v.groups[i]
+	cached := g.cachedTokens(r)
+	return Decision{
+		Group:        g.Name,
+		Epoch:        g.Epoch,
+		Backend:      g.Backend,
+		DataCentre:   g.DataCentre,
+		Reason:       reason,
+		CachedTokens: cached,
+		Work:         g.work + tokensTime(r.PromptTokens-cached, g.prefillRate()),
+	}
+}
+
+func (g *group) cachedTokens(r *Request) int {
+	if len(r.Blocks) == 0 {
+		return 0
+	}
+	return r.PromptTokens * g.Digest.Match(r.Blocks) / len(r.Blocks)
+}
+
+func (g *group) takes(r *Request) bool {
+	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
+	return g.open && need.FitsIn(g.Room)
+}
+
+// survey is one pass over the candidates.
+type survey struct {
+	eligible int
+	load     float64 // sum over the eligible
+	best     int32   // with the longest cached prefix
+	match    int
+	home     int32 // first by rendezvous of the prompt's first block
+	homeRank uint64
+}
+
+func (v *View) survey(list []int32, r *Request) survey {
+	s := survey{best: -1, home: -1}
+	for _, i := range list {
+		g := &v.groups[i]
+		if !g.takes(r) || g.Backend == r.Avoid {
+			continue
+		}
+		s.eligible++
+		s.load += g.load
+		if len(r.Blocks) == 0 {
+			continue
+		}
+		match := g.Digest.Match(r.Blocks)
+		if match > s.match || match == s.match && s.best >= 0 && g.work < v.groups[s.best].work {
+			s.best, s.match = i, match
+		}
+		if rank := mix(g.seed ^ r.Blocks[0]); s.home < 0 || rank > s.homeRank {
+			s.home, s.homeRank = i, rank
+		}
+	}
+	return s
+}
+
+// pick chooses among the candidates of one data centre.
+func (v *View) pick(list []int32, r *Request) (int32, Reason, bool) {
+	s := v.survey(list, r)
+	if s.eligible == 0 {
+		return v.onlyAvoided(list, r)
+	}
+	bound := v.tuning.Bound * (s.load + 1) / float64(s.eligible)
+	if s.best >= 0 && s.match >= v.tuning.MinMatch && v.groups[s.best].load <= bound {
+		return s.best, ReasonPrefix, true
+	}
+	if s.match == 0 && s.home >= 0 && v.groups[s.home].load <= bound {
+		return s.home, ReasonHome, true
+	}
+	first := v.nth(list, r, int(r.Random%uint64(s.eligible)))
+	if s.eligible == 1 {
+		return first, ReasonOnly, true
+	}
+	step := 1 + int((r.Random>>32)%uint64(s.eligible-1))
+	second := v.nth(list, r, (int(r.Random%uint64(s.eligible))+step)%s.eligible)
+	if v.workWith(second, r) < v.workWith(first, r) {
+		first = second
+	}
+	return first, ReasonLeastWork, true
+}
+
+// onlyAvoided returns the group to avoid when no other one is eligible.
+func (v *View) onlyAvoided(list []int32, r *Request) (int32, Reason, bool) {
+	for _, i := range list {
+		if v.groups[i].takes(r) {
+			return i, ReasonOnly, true
+		}
+	}
+	return 0, 0, false
+}
+
+// nth returns the n-th eligible candidate.
+func (v *View) nth(list []int32, r *Request, n int) int32 {
+	for _, i := range list {
+		g := &v.groups[i]
+		if !g.takes(r) || g.Backend == r.Avoid {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return -1
+}
+
+func (v *View) workWith(i int32, r *Request) time.Duration {
+	g := &v.groups[i]
+	return g.work + tokensTime(r.PromptTokens-g.cachedTokens(r), g.prefillRate())
+}
+
+// spill chooses a group in another data centre, within the part of that data
+// centre's room that this entry instance may use.
+func (v *View) spill(list []int32, r *Request) (int32, bool) {
+	best := int32(-1)
+	bestLeft := 0.0
+	for _, i := range list {
+		g := &v.groups[i]
+		if !g.open || g.Backend == r.Avoid {
+			continue
+		}
+		left := v.spillLeft(g.DataCentre)
+		if left >= 1 && (left > bestLeft || left == bestLeft && g.work < v.groups[best].work) {
+			best, bestLeft = i, left
+		}
+	}
+	return best, best >= 0
+}
+
+// spillLeft returns how many requests this entry instance may still forward.
+func (v *View) spillLeft(name string) float64 {
+	for i := range v.dataCentres {
+		dc := &v.dataCentres[i]
+		if dc.Name != name {
+			continue
+		}
+		if dc.Drained || !dc.Reachable {
+			return 0
+		}
+		allowed := float64(dc.Room) * dc.Ramp * v.tuning.SpillShare / float64(v.senders)
+		return allowed - float64(dc.SpillSent)
+	}
+	return 0
+}
+
+// refusal finds out why nothing takes the request.
+func (v *View) refusal(c *candidates, r *Request) *Refusal {
+	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
+	reason := ReasonClosed
+	for _, list := range [2][]int32{c.own, c.foreign} {
+		for _, i := range list {
+			g := &v.groups[i]
+			switch {
+			case !g.open:
+			case need.FitsIn(g.Bears):
+				return refuse(r, ReasonFull, retryWhenFull)
+			default:
+				reason = ReasonTooLarge
+			}
+		}
+	}
+	return refuse(r, reason, retryWhenFull)
+}
+
+func refuse(r *Request, reason Reason, after time.Duration) *Refusal {
+	return &Refusal{Reason: reason, Account: r.Account, Model: r.Model, RetryAfter: after}
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
