limit: loans count only from lenders that have settled

A rapid schedule (about one in 5000 of 400 steps) put 2 requests on a backend server whose limit of 2 had become 1: a lender ended before it had settled into the lower limit, and the borrower's loan from it stood for a share that the new limits no longer held. Excluded: the loan accounting itself, which was right for the old limits. A loan now covers requests only when its lender has settled into the version that the borrower has settled into; replies carry the lender's settled version. Schedules, guards and examples are tested.

--- a/pkg/limit/account.go
+++ b/pkg/limit/account.go
@@ -22,20 +22,6 @@
 	ticket  int64
 }
 
-// ownUse returns what is in flight beyond the borrowed amounts.
-func (a *account) ownUse() Amount {
-	return a.inFlight.Minus(a.borrowed).Positive()
-}
-
-// lendable returns the part of the share that is neither used nor lent.
-func (a *account) lendable(countLent bool) Amount {
-	free := a.share.Minus(a.ownUse())
-	if countLent {
-		free = free.Minus(a.lent)
-	}
-	return free.Positive()
-}
-
 func (a *account) idle() bool {
 	return a.inFlight.IsZero() && a.lent.IsZero() && a.borrowed.IsZero() && len(a.waiting) == 0
 }
--- a/pkg/limit/amount.go
+++ b/pkg/limit/amount.go
@@ -56,3 +56,8 @@
 	Epoch  int64
 	Limits int64
 }
+
+// older reports whether v comes before w in one of its parts.
+func (v Version) older(w Version) bool {
+	return v.Epoch < w.Epoch || v.Limits < w.Limits
+}
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -12,7 +12,7 @@
 
 	binding  []plan // plans that bind, newest last; the first is empty for a newcomer
 	awaited  map[Member]bool
-	settled  map[Member]Version
+	settled  map[Member][]Version // since the version that this member settled into
 	gone     map[Member]bool
 	own      Version // newest version that this member settled into
 	seq      int64
@@ -65,7 +65,7 @@
 	guardLent                        // count what is lent
 	guardSequence                    // ignore statements that were overtaken
 	guardCold                        // start a new boot ID at the cold level
-	guardOutsider                    // settle only without loans from outside the table
+	guardCover                       // use loans only of lenders that have settled
 	guardExact                       // count a settled member for the exact version only
 	guardAbandoned                   // refuse a loan that was given up
 )
@@ -123,7 +123,7 @@
 		return
 	}
 	l.awaited = make(map[Member]bool)
-	l.settled = make(map[Member]Version)
+	l.settled = make(map[Member][]Version)
 	l.gone = make(map[Member]bool)
 	l.current = make(map[string]string)
 	l.accounts = make(map[key]*account)
@@ -136,10 +136,25 @@
 // MarkSettled notes that a member has settled into a version.
 func (l *Ledger) MarkSettled(m Member, v Version) Outbox {
 	l.init()
-	l.settled[m] = v
+	l.noteSettled(m, v)
 	return l.progress()
 }
 
+func (l *Ledger) noteSettled(m Member, v Version) {
+	if v.older(l.own) || slices.Contains(l.settled[m], v) {
+		return
+	}
+	l.settled[m] = append(l.settled[m], v)
+}
+
+// settle moves on to the version and forgets older ones of others.
+func (l *Ledger) settle(v Version) {
+	l.own = v
+	for m, versions := range l.settled {
+		l.settled[m] = slices.DeleteFunc(versions, func(s Version) bool { return s.older(v) })
+	}
+}
+
 // MarkGone notes that the member's process has certainly ended: the platform
 // lists it as gone, or a newer boot ID has replaced it.
 func (l *Ledger) MarkGone(m Member) Outbox {
@@ -165,8 +180,9 @@
 }
 
 // Settled reports whether this member keeps to the newest table and limits: on
-// every backend server what it has in flight and lent fits in the share, and it
-// uses no loan of a lender outside the table.
+// every backend server what it has in flight and lent fits in the share. Only
+// loans of lenders that have settled too are taken off what is in flight, since
+// the share of one that ends before it has settled covers nothing.
 func (l *Ledger) Settled() bool {
 	if len(l.binding) == 0 {
 		return false
@@ -175,25 +191,17 @@
 	if l.own == v {
 		return true
 	}
-	if !l.fits() {
+	if !l.fits(v) {
 		return false
 	}
-	l.own = v
+	l.settle(v)
 	return true
 }
 
-func (l *Ledger) fits() bool {
+func (l *Ledger) fits(v Version) bool {
 	for _, a := range l.accounts {
-		if !a.ownUse().Plus(a.lent).FitsIn(a.share) {
-			return false
-		}
-	}
-	if !l.on(guardOutsider) {
-		return true
-	}
-	members := l.newest().table.Members
-	for _, loan := range l.held {
-		if !slices.Contains(members, loan.lender) {
+		use := a.inFlight.Minus(l.covered(a, v)).Positive()
+		if !use.Plus(a.lent).FitsIn(a.share) {
 			return false
 		}
 	}
@@ -201,7 +209,9 @@
 }
 
 // Activated reports whether only the newest table and limits bind.
-func (l *Ledger) Activated() bool { return len(l.binding) == 1 }
+func (l *Ledger) Activated() bool {
+	return len(l.binding) == 1 && l.binding[0].table.Epoch > 0
+}
 
 // Awaited returns the members that keep the older tables binding.
 func (l *Ledger) Awaited() []Member {
@@ -221,17 +231,18 @@
 	if l.gone[m] || !l.on(guardSettle) {
 		return true
 	}
-	v, want := l.settled[m], l.Version()
+	want := l.Version()
 	if !l.on(guardExact) {
-		return v.Epoch >= want.Epoch && v.Limits >= want.Limits
+		return slices.ContainsFunc(l.settled[m], func(v Version) bool { return !v.older(want) })
 	}
-	return v == want
+	return slices.Contains(l.settled[m], want)
 }
 
 // progress applies what changed and drops the older plans once it may.
 func (l *Ledger) progress() Outbox {
 	l.reckon()
-	if len(l.binding) > 1 && l.Settled() && len(l.Awaited()) == 0 {
+	hasTable := l.newest().table.Epoch > 0
+	if hasTable && len(l.binding) > 1 && l.Settled() && len(l.Awaited()) == 0 {
 		l.binding = l.binding[len(l.binding)-1:]
 		clear(l.awaited)
 		l.reckon()
--- a/pkg/limit/level.go
+++ b/pkg/limit/level.go
@@ -3,11 +3,10 @@
 // level is a member's reading of how much one life of a backend server bears.
 type level struct {
 	coldEpoch int64
-	value     int  // 0 until the first growth
-	warm      bool // the backend server reports that it is warm
-	completed int64
+	value     int   // 0 until the first growth
+	warm      bool  // the backend server reports that it is warm
+	completed int64 // requests that this member saw complete at the present value
 	byPeer    map[Member]int64
-	base      int64 // completions at the last growth
 	changed   int64 // sequence number of the last change
 }
 
@@ -27,6 +26,13 @@
 	return sum
 }
 
+// rise starts to count anew, so that a level is only left by completions at it.
+func (lv *level) rise(value int) {
+	lv.value = value
+	lv.completed = 0
+	clear(lv.byPeer)
+}
+
 // Level returns how many requests the backend server bears by this member's
 // reading, whatever part of them is its own.
 func (l *Ledger) Level(backend string) int {
@@ -80,12 +86,10 @@
 	if !ok || rank != 0 || bears >= limit.InFlight {
 		return
 	}
-	total := a.level.total()
-	if total-a.level.base < int64(bears) {
+	if a.level.total() < int64(bears) {
 		return
 	}
-	a.level.base = total
-	a.level.value = min(2*bears, limit.InFlight)
+	a.level.rise(min(2*bears, limit.InFlight))
 	l.changedLevel(a)
 }
 
@@ -98,15 +102,18 @@
 	}
 	if reading.ColdEpoch > lv.coldEpoch {
 		*lv = level{coldEpoch: reading.ColdEpoch}
+		l.changedLevel(a)
+	}
+	if reading.Value > lv.value {
+		lv.rise(reading.Value)
+		l.changedLevel(a)
+	}
+	if reading.Value < lv.value {
+		return
 	}
 	if lv.byPeer == nil {
 		lv.byPeer = make(map[Member]int64)
 	}
 	lv.byPeer[from] = max(lv.byPeer[from], reading.Completed)
-	if reading.Value > lv.value {
-		lv.value = reading.Value
-		lv.base = lv.total()
-	}
-	a.share = l.shareOf(a)
 	l.grow(a, l.newest().limits.Backends[a.backend])
 }
--- a/pkg/limit/loan.go
+++ b/pkg/limit/loan.go
@@ -20,7 +20,10 @@
 		return true, Outbox{}
 	}
 	loan, ok := l.pending[r.ID]
-	if !ok && l.on(guardAbandoned) {
+	l.noteSettled(r.Lender, r.Settled)
+	covers := slices.Contains(l.settled[r.Lender], l.own) || !l.on(guardCover)
+	if !ok && l.on(guardAbandoned) || !covers && !r.Granted.IsZero() {
+		delete(l.pending, r.ID)
 		return false, Outbox{Returns: []Return{{Lender: r.Lender, Loans: []LoanID{r.ID}}}}
 	}
 	if r.Waiting {
@@ -63,24 +66,76 @@
 	return l.returnIdle(l.account(loan.key))
 }
 
+// loansFor returns the account's loans of lenders that have settled into the
+// version.
+func (l *Ledger) loansFor(a *account, v Version) []loan {
+	if a.borrowed.IsZero() {
+		return nil
+	}
+	var loans []loan
+	for _, loan := range l.held {
+		covers := slices.Contains(l.settled[loan.lender], v) || !l.on(guardCover)
+		if loan.key == a.key && covers {
+			loans = append(loans, loan)
+		}
+	}
+	return loans
+}
+
+// covered sums the loans of lenders that have settled into the version.
+func (l *Ledger) covered(a *account, v Version) Amount {
+	var sum Amount
+	for _, loan := range l.loansFor(a, v) {
+		sum = sum.Plus(loan.amount)
+	}
+	return sum
+}
+
+// ownUse returns what is in flight beyond the loans.
+func (l *Ledger) ownUse(a *account) Amount {
+	return a.inFlight.Minus(l.covered(a, l.own)).Positive()
+}
+
+func (l *Ledger) countedLent(a *account) Amount {
+	if !l.on(guardLent) {
+		return Amount{}
+	}
+	return a.lent
+}
+
+// lendable returns the part of the share that is neither used nor lent.
+func (l *Ledger) lendable(a *account) Amount {
+	return a.share.Minus(l.ownUse(a)).Minus(l.countedLent(a)).Positive()
+}
+
 // returnIdle returns the loans that the requests in flight do not need.
 func (l *Ledger) returnIdle(a *account) Outbox {
 	var out Outbox
 	for _, id := range l.heldFor(a) {
-		loan := l.held[id]
-		without := a.borrowed.Minus(loan.amount)
-		use := a.inFlight.Minus(without).Positive()
-		grows := use != a.ownUse()
-		if grows && !use.Plus(a.lent).FitsIn(a.share) {
+		if l.needs(a, id) {
 			continue
 		}
-		a.borrowed = without
+		loan := l.held[id]
+		a.borrowed = a.borrowed.Minus(loan.amount)
 		delete(l.held, id)
 		out.Returns = append(out.Returns, Return{Lender: loan.lender, Loans: []LoanID{id}})
 	}
 	return out
 }
 
+// needs reports whether the requests in flight exceed the share without the
+// loan.
+func (l *Ledger) needs(a *account, id LoanID) bool {
+	loan := l.held[id]
+	if !slices.Contains(l.settled[loan.lender], l.own) && l.on(guardCover) {
+		return false // it covers nothing
+	}
+	before := l.covered(a, l.own)
+	without := a.inFlight.Minus(before.Minus(loan.amount)).Positive()
+	grows := without != a.inFlight.Minus(before).Positive()
+	return grows && !without.Plus(a.lent).FitsIn(a.share)
+}
+
 func (l *Ledger) heldFor(a *account) []LoanID {
 	if a.borrowed.IsZero() {
 		return nil
@@ -98,7 +153,7 @@
 // Lend answers a request for a loan.
 func (l *Ledger) Lend(r LoanRequest) LoanReply {
 	l.init()
-	reply := LoanReply{ID: r.ID, Lender: l.Self}
+	reply := LoanReply{ID: r.ID, Lender: l.Self, Settled: l.own}
 	if loan, ok := l.lent[r.ID]; ok {
 		reply.Granted = loan.amount
 		return reply
@@ -111,7 +166,7 @@
 	a := l.account(key{r.Backend, r.Boot})
 	queued := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.request.ID == r.ID })
 	if !queued && a.ticket == 0 && len(a.waiting) == 0 {
-		reply.Granted = l.lendTo(a, r, r.Amount.Min(a.lendable(l.on(guardLent))))
+		reply.Granted = l.lendTo(a, r, r.Amount.Min(l.lendable(a)))
 	}
 	if !reply.Granted.IsZero() || !r.Wait {
 		return reply
@@ -143,12 +198,12 @@
 			break
 		}
 		r := first.request
-		if !r.Amount.FitsIn(a.lendable(l.on(guardLent))) {
+		if !r.Amount.FitsIn(l.lendable(a)) {
 			break
 		}
 		a.waiting = a.waiting[1:]
 		granted := l.lendTo(a, r, r.Amount)
-		out.Replies = append(out.Replies, LoanReply{ID: r.ID, Lender: l.Self, Granted: granted})
+		out.Replies = append(out.Replies, LoanReply{ID: r.ID, Lender: l.Self, Granted: granted, Settled: l.own})
 	}
 	return out
 }
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -21,8 +21,9 @@
 type LoanReply struct {
 	ID      LoanID
 	Lender  Member
-	Granted Amount // zero when refused; it can be less than was asked for
-	Waiting bool   // nothing granted yet; another reply follows when it can be
+	Granted Amount  // zero when refused; it can be less than was asked for
+	Waiting bool    // nothing granted yet; another reply follows when it can be
+	Settled Version // newest version that the lender has settled into
 }
 
 // Return gives loans back to the lender.
@@ -38,7 +39,7 @@
 	Boot      string
 	ColdEpoch int64 // grows each time the backend server turned cold under this boot ID
 	Value     int   // requests; it only grows within a boot ID and a cold epoch
-	Completed int64 // requests that the sender has seen complete in this cold epoch
+	Completed int64 // requests that the sender saw complete at this value
 }
 
 // Statement is what one member regularly tells another one. It makes lost
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -50,10 +50,7 @@
 
 // missing returns by how much the need exceeds what is left.
 func (l *Ledger) missing(a *account, need Amount) Amount {
-	left := a.share.Plus(l.usableLoans(a)).Minus(a.inFlight)
-	if l.on(guardLent) {
-		left = left.Minus(a.lent)
-	}
+	left := a.share.Plus(l.usableLoans(a)).Minus(a.inFlight).Minus(l.countedLent(a))
 	missing := need.Minus(left).Positive()
 	if need.Tokens == 0 {
 		missing.Tokens = 0
@@ -63,12 +60,9 @@
 
 // usableLoans sums the loans of the present cold epoch; older ones only run out.
 func (l *Ledger) usableLoans(a *account) Amount {
-	if a.borrowed.IsZero() {
-		return Amount{}
-	}
 	var sum Amount
-	for _, loan := range l.held {
-		if loan.key == a.key && loan.coldEpoch == a.level.coldEpoch {
+	for _, loan := range l.loansFor(a, l.own) {
+		if loan.coldEpoch == a.level.coldEpoch {
 			sum = sum.Plus(loan.amount)
 		}
 	}
--- a/pkg/limit/statement.go
+++ b/pkg/limit/statement.go
@@ -97,7 +97,7 @@
 		l.learn(s.From, reading)
 	}
 	if s.Settled {
-		l.settled[s.From] = s.Version
+		l.noteSettled(s.From, s.Version)
 	}
 	return l.progress()
 }
