queue: fairness, room and deadlines under schedules; limit: waiting loans in strict order

A waiting loan that no longer fits the lender's share blocked those behind it, and small requests of the lender could overtake it for ever. It is now refused when the share can't hold it, and nobody overtakes it otherwise. Displaced entries that have to go back keep their place.

--- a/pkg/limit/loan.go
+++ b/pkg/limit/loan.go
@@ -168,7 +168,7 @@
 	if !queued && a.ticket == 0 && len(a.waiting) == 0 {
 		reply.Granted = l.lendTo(a, r, r.Amount.Min(l.lendable(a)))
 	}
-	if !reply.Granted.IsZero() || !r.Wait {
+	if !reply.Granted.IsZero() || !r.Wait || !r.Amount.FitsIn(a.share) {
 		return reply
 	}
 	reply.Waiting = true
@@ -189,7 +189,8 @@
 }
 
 // serveWaiting grants what has become free in the order of arrival. It stops at
-// the place of the member's own requests.
+// the place of the member's own requests, and refuses what the share no longer
+// holds.
 func (l *Ledger) serveWaiting(a *account) Outbox {
 	var out Outbox
 	for len(a.waiting) > 0 {
@@ -198,11 +199,15 @@
 			break
 		}
 		r := first.request
-		if !r.Amount.FitsIn(l.lendable(a)) {
+		never := !r.Amount.FitsIn(a.share)
+		if !never && !r.Amount.FitsIn(l.lendable(a)) {
 			break
 		}
 		a.waiting = a.waiting[1:]
-		granted := l.lendTo(a, r, r.Amount)
+		var granted Amount
+		if !never {
+			granted = l.lendTo(a, r, r.Amount)
+		}
 		out.Replies = append(out.Replies, LoanReply{ID: r.ID, Lender: l.Self, Granted: granted, Settled: l.own})
 	}
 	return out
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -38,7 +38,7 @@
 	if !missing.IsZero() {
 		return Permit{}, l.refuse(a, need, missing)
 	}
-	if a.ticket == 0 && len(a.waiting) > 0 {
+	if len(a.waiting) > 0 && (a.ticket == 0 || a.ticket > a.waiting[0].ticket) {
 		return Permit{}, l.refuse(a, need, Amount{})
 	}
 	a.ticket = 0
--- a/pkg/queue/class.go
+++ b/pkg/queue/class.go
@@ -18,18 +18,22 @@
 	return max(c.virtual, c.finish[e.Account])
 }
 
-// insert keeps the items in the order of their start tags, and those with equal
-// tags in the order of arrival.
-func (c *class) insert(e Entry, start float64) {
+// charge books the entry's cost to its account.
+func (c *class) charge(e Entry, start float64) {
 	if c.finish == nil {
 		c.finish = make(map[string]float64)
 	}
 	c.finish[e.Account] = start + float64(e.Cost)/float64(e.Weight)
+}
+
+// insert keeps the items in the order of their start tags, and those with equal
+// tags in the order of arrival.
+func (c *class) insert(it item) {
 	at := len(c.items)
-	for at > 0 && c.items[at-1].start > start {
+	for at > 0 && c.items[at-1].start > it.start {
 		at--
 	}
-	c.items = slices.Insert(c.items, at, item{Entry: e, start: start})
+	c.items = slices.Insert(c.items, at, it)
 }
 
 // forget drops finish tags that no longer delay anyone.
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -110,7 +110,8 @@
 	if !ok {
 		return nil, &Refusal{Reason: ReasonFull, RetryAfter: clampRetry(q.waitOf(priorities-1, maxTag))}
 	}
-	c.insert(e, start)
+	c.charge(e, start)
+	c.insert(item{Entry: e, start: start})
 	q.hold(e, 1)
 	return displaced, nil
 }
@@ -172,12 +173,12 @@
 	return false
 }
 
-func (q *Queue) removeAt(p, i int) Entry {
+func (q *Queue) removeAt(p, i int) item {
 	c := &q.classes[p]
-	e := c.items[i].Entry
+	it := c.items[i]
 	c.items = slices.Delete(c.items, i, i+1)
-	q.hold(e, -1)
-	return e
+	q.hold(it.Entry, -1)
+	return it
 }
 
 // Expire takes out the entries whose deadline has come. They are to be refused
@@ -188,7 +189,7 @@
 		for i := len(q.classes[p].items) - 1; i >= 0; i-- {
 			deadline := q.classes[p].items[i].Deadline
 			if !deadline.IsZero() && !now.Before(deadline) {
-				expired = append(expired, q.removeAt(p, i))
+				expired = append(expired, q.removeAt(p, i).Entry)
 			}
 		}
 	}
--- a/pkg/queue/room.go
+++ b/pkg/queue/room.go
@@ -1,5 +1,7 @@
 package queue
 
+import "slices"
+
 // makeRoom displaces entries of accounts that hold more than the newcomer's
 // would. It reports false when that does not make enough room.
 func (q *Queue) makeRoom(e Entry) ([]Entry, bool) {
@@ -7,25 +9,27 @@
 	if e.Bytes > c.MaxBytes {
 		return nil, false
 	}
-	var displaced []Entry
+	var removed []item
 	for q.entries+1 > c.MaxEntries || q.bytes+e.Bytes > c.MaxBytes {
 		p, i, ok := q.victim(e)
 		if !ok {
-			q.restore(displaced)
+			q.restore(removed)
 			return nil, false
 		}
-		displaced = append(displaced, q.removeAt(p, i))
+		removed = append(removed, q.removeAt(p, i))
+	}
+	var displaced []Entry
+	for _, it := range removed {
+		displaced = append(displaced, it.Entry)
 	}
 	return displaced, true
 }
 
-// restore puts displaced entries back with their account's newest tags.
-func (q *Queue) restore(displaced []Entry) {
-	for i := len(displaced) - 1; i >= 0; i-- {
-		e := displaced[i]
-		c := &q.classes[e.Priority]
-		c.insert(e, c.startTag(e, q.fifo))
-		q.hold(e, 1)
+// restore puts removed items back into their places.
+func (q *Queue) restore(removed []item) {
+	for _, it := range slices.Backward(removed) {
+		q.classes[it.Priority].insert(it)
+		q.hold(it.Entry, 1)
 	}
 }
 
