--- /dev/null
+++ b/pkg/route/bench_test.go
@@ -0,0 +1,42 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+func benchmarkView(backends int) *View {
+	c := Config{DataCentre: "a", DataCentres: []DataCentre{{Name: "a", Reachable: true, Ramp: 1}}}
+	var names []string
+	for i := range backends {
+		g := openGroup(fmt.Sprint("g", i), "a")
+		g.Report.Requests = i % 7
+		if i%5 == 0 {
+			g.Digest = digestOf(1, 2, 3)
+		}
+		c.Groups = append(c.Groups, g)
+		names = append(names, g.Name)
+	}
+	c.Routes = []Route{{Accounts: []string{"*"}, Groups: names}}
+	return NewView(c)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	blocks := make([]uint64, 32)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	for _, backends := range []int{105, 840} {
+		for name, blocks := range map[string][]uint64{"prefix": blocks, "plain": nil} {
+			b.Run(fmt.Sprintf("%s/%d", name, backends), func(b *testing.B) {
+				v := benchmarkView(backends)
+				r := Request{Account: "x", Model: "m", PromptTokens: 2000, Blocks: blocks}
+				b.ReportAllocs()
+				for b.Loop() {
+					r.Random += 0x9e3779b97f4a7c15
+					v.Choose(&r)
+				}
+			})
+		}
+	}
+}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -49,9 +49,18 @@
 	return r.PromptTokens * g.Digest.Match(r.Blocks) / len(r.Blocks)
 }
 
-func (g *group) takes(r *Request) bool {
+func (v *View) takes(g *group, r *Request) bool {
 	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
-	return g.open && need.FitsIn(g.Room)
+	return g.open && (need.FitsIn(g.Room) || !v.on(guardRoom))
+}
+
+// underBound reports whether the group's load is not far above the mean, so
+// that work with a common prefix does not pile up on one backend server.
+func (v *View) underBound(i int32, s survey) bool {
+	g := &v.groups[i]
+	mean := s.load / float64(s.eligible)
+	bears := float64(max(g.Bears.Requests, 1))
+	return float64(g.requests()) <= v.tuning.Bound*mean*bears+1 || !v.on(guardBound)
 }
 
 // survey is one pass over the candidates.
@@ -68,7 +77,7 @@
 	s := survey{best: -1, home: -1}
 	for _, i := range list {
 		g := &v.groups[i]
-		if !g.takes(r) || g.Backend == r.Avoid {
+		if !v.takes(g, r) || g.Backend == r.Avoid {
 			continue
 		}
 		s.eligible++
@@ -93,11 +102,10 @@
 	if s.eligible == 0 {
 		return v.onlyAvoided(list, r)
 	}
-	bound := v.tuning.Bound * (s.load + 1) / float64(s.eligible)
-	if s.best >= 0 && s.match >= v.tuning.MinMatch && v.groups[s.best].load <= bound {
+	if s.best >= 0 && s.match >= v.tuning.MinMatch && v.underBound(s.best, s) {
 		return s.best, ReasonPrefix, true
 	}
-	if s.match == 0 && s.home >= 0 && v.groups[s.home].load <= bound {
+	if s.match == 0 && s.home >= 0 && v.underBound(s.home, s) {
 		return s.home, ReasonHome, true
 	}
 	first := v.nth(list, r, int(r.Random%uint64(s.eligible)))
@@ -115,7 +123,7 @@
 // onlyAvoided returns the group to avoid when no other one is eligible.
 func (v *View) onlyAvoided(list []int32, r *Request) (int32, Reason, bool) {
 	for _, i := range list {
-		if v.groups[i].takes(r) {
+		if v.takes(&v.groups[i], r) {
 			return i, ReasonOnly, true
 		}
 	}
@@ -126,7 +134,7 @@
 func (v *View) nth(list []int32, r *Request, n int) int32 {
 	for _, i := range list {
 		g := &v.groups[i]
-		if !g.takes(r) || g.Backend == r.Avoid {
+		if !v.takes(g, r) || g.Backend == r.Avoid {
 			continue
 		}
 		if n == 0 {
@@ -145,11 +153,12 @@
 // spill chooses a group in another data centre, within the part of that data
 // centre's room that this entry instance may use.
 func (v *View) spill(list []int32, r *Request) (int32, bool) {
+	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
 	best := int32(-1)
 	bestLeft := 0.0
 	for _, i := range list {
 		g := &v.groups[i]
-		if !g.open || g.Backend == r.Avoid {
+		if !g.open || g.Backend == r.Avoid || !need.FitsIn(g.Bears) {
 			continue
 		}
 		left := v.spillLeft(g.DataCentre)
@@ -170,6 +179,9 @@
 		if dc.Drained || !dc.Reachable {
 			return 0
 		}
+		if !v.on(guardSpill) {
+			return 1
+		}
 		allowed := float64(dc.Room) * dc.Ramp * v.tuning.SpillShare / float64(v.senders)
 		return allowed - float64(dc.SpillSent)
 	}
@@ -180,7 +192,11 @@
 func (v *View) refusal(c *candidates, r *Request) *Refusal {
 	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
 	reason := ReasonClosed
-	for _, list := range [2][]int32{c.own, c.foreign} {
+	lists := [2][]int32{c.own, c.foreign}
+	if r.Forwarded {
+		lists[1] = nil
+	}
+	for _, list := range lists {
 		for _, i := range list {
 			g := &v.groups[i]
 			switch {
--- /dev/null
+++ b/pkg/route/choose_test.go
@@ -0,0 +1,290 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/chicorystall/chicorystall/pkg/limit"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
+		if !set[name] {
+			flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// openGroup is a whole group with room in its data centre.
+func openGroup(name, dc string) Group {
+	return Group{
+		Name:       name,
+		Model:      "m",
+		DataCentre: dc,
+		Backend:    name,
+		Whole:      true,
+		Room:       limit.Amount{Requests: 8, Tokens: 1 << 16},
+		Bears:      limit.Amount{Requests: 8, Tokens: 1 << 16},
+	}
+}
+
+func digestOf(blocks ...uint64) Digest {
+	var c Cache
+	c.Confirm("b", blocks)
+	return c.Digest()
+}
+
+// config has groups a1 and a2 in the own data centre and b1 in another one.
+func config(change func(*Config)) Config {
+	c := Config{
+		DataCentre: "a",
+		Groups:     []Group{openGroup("a1", "a"), openGroup("a2", "a"), openGroup("b1", "b")},
+		DataCentres: []DataCentre{
+			{Name: "a", Reachable: true, Ramp: 1},
+			{Name: "b", Reachable: true, Ramp: 1, Room: 8},
+		},
+		Routes: []Route{{Accounts: []string{"one"}, Groups: []string{"a1", "a2", "b1"}}},
+	}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func TestChoose(t *testing.T) {
+	request := Request{Account: "one", Model: "m", PromptTokens: 100, Blocks: []uint64{1, 2}}
+	tests := []struct {
+		name    string
+		change  func(*Config)
+		request func(*Request)
+		group   string
+		reason  Reason
+	}{
+		{name: "cached prefix", change: func(c *Config) { c.Groups[1].Digest = digestOf(1) }, group: "a2", reason: ReasonPrefix},
+		{
+			name: "longer cached prefix",
+			change: func(c *Config) {
+				c.Groups[0].Digest = digestOf(1)
+				c.Groups[1].Digest = digestOf(2)
+			},
+			group: "a2", reason: ReasonPrefix,
+		},
+		{
+			name: "cached prefix above the bound",
+			change: func(c *Config) {
+				c.Groups[1].Digest = digestOf(1)
+				c.Groups[1].Report.Requests = 7
+			},
+			group: "a1", reason: ReasonLeastWork,
+		},
+		{
+			name:    "less work",
+			change:  func(c *Config) { c.Groups[0].Report.PendingTokens = 9000 },
+			request: func(r *Request) { r.Blocks = nil },
+			group:   "a2", reason: ReasonLeastWork,
+		},
+		{
+			name:    "sent since the report",
+			change:  func(c *Config) { c.Groups[1].Sent.PendingTokens = 9000 },
+			request: func(r *Request) { r.Blocks = nil },
+			group:   "a1", reason: ReasonLeastWork,
+		},
+		{name: "not whole", change: func(c *Config) { c.Groups[0].Whole = false }, group: "a2", reason: ReasonHome},
+		{name: "avoid the last one", request: func(r *Request) { r.Avoid = "a1" }, group: "a2", reason: ReasonHome},
+		{name: "own data centre drained", change: func(c *Config) { c.DataCentres[0].Drained = true }, group: "b1", reason: ReasonSpill},
+		{
+			name: "own data centre full",
+			change: func(c *Config) {
+				c.Groups[0].Room = limit.Amount{}
+				c.Groups[1].Room = limit.Amount{}
+			},
+			group: "b1", reason: ReasonSpill,
+		},
+		{
+			name:    "forwarded work stays",
+			change:  func(c *Config) { c.DataCentres[0].Drained = true },
+			request: func(r *Request) { r.Forwarded = true },
+			reason:  ReasonClosed,
+		},
+		{
+			name: "both drained",
+			change: func(c *Config) {
+				c.DataCentres[0].Drained = true
+				c.DataCentres[1].Drained = true
+			},
+			reason: ReasonClosed,
+		},
+		{
+			name: "neighbour returns with a ramp of 0",
+			change: func(c *Config) {
+				c.DataCentres[0].Drained = true
+				c.DataCentres[1].Ramp = 0
+			},
+			reason: ReasonFull,
+		},
+		{name: "account without a route", request: func(r *Request) { r.Account = "two" }, reason: ReasonNotAllowed},
+		{name: "too large", request: func(r *Request) { r.PromptTokens = 1 << 20 }, reason: ReasonTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := request
+			if tt.request != nil {
+				tt.request(&r)
+			}
+			d, refusal := NewView(config(tt.change)).Choose(&r)
+			expectDecision(t, d, refusal, tt.group, tt.reason)
+		})
+	}
+}
+
+func expectDecision(t *testing.T, d Decision, refusal *Refusal, group string, reason Reason) {
+	t.Helper()
+	g := NewWithT(t)
+	if group == "" {
+		g.Expect(refusal).NotTo(BeNil())
+		g.Expect(refusal.Reason).To(Equal(reason))
+		return
+	}
+	g.Expect(refusal).To(BeNil())
+	g.Expect(d.Group).To(Equal(group))
+	g.Expect(d.Reason).To(Equal(reason))
+}
+
+// anyConfig draws a view in which anything can be closed, full or lost.
+func anyConfig(t *rapid.T, disabled guard) Config {
+	c := Config{DataCentre: "dc0", Senders: rapid.IntRange(1, 4).Draw(t, "senders"), disabled: disabled}
+	for i := range 3 {
+		c.DataCentres = append(c.DataCentres, DataCentre{
+			Name:      fmt.Sprint("dc", i),
+			Drained:   rapid.IntRange(0, 3).Draw(t, "drained") == 0,
+			Reachable: rapid.IntRange(0, 3).Draw(t, "reachable") > 0,
+			Ramp:      rapid.Float64Range(0, 1).Draw(t, "ramp"),
+			Room:      rapid.IntRange(0, 20).Draw(t, "room"),
+		})
+	}
+	var names []string
+	for i := range rapid.IntRange(0, 8).Draw(t, "groups") {
+		g := openGroup(fmt.Sprint("g", i), fmt.Sprint("dc", i%3))
+		g.Whole = rapid.IntRange(0, 3).Draw(t, "whole") > 0
+		g.Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+		g.Room.Requests = rapid.IntRange(0, 2).Draw(t, "free")
+		g.Report.Requests = rapid.IntRange(0, 8).Draw(t, "requests")
+		if rapid.Bool().Draw(t, "cached") {
+			g.Digest = digestOf(1)
+		}
+		c.Groups = append(c.Groups, g)
+		names = append(names, g.Name)
+	}
+	c.Routes = []Route{{Accounts: []string{"*"}, Groups: names}}
+	return c
+}
+
+// decideAll makes all senders decide on the same old reports until each has
+// decided ten times, and returns the first violation.
+func decideAll(t *rapid.T, disabled guard) string {
+	c := anyConfig(t, disabled)
+	spilled := make(map[string]int)
+	for range c.Senders {
+		own := c
+		own.DataCentres = append([]DataCentre(nil), c.DataCentres...)
+		for range 10 {
+			r := Request{Account: "x", Model: "m", Blocks: []uint64{1}, Random: rapid.Uint64().Draw(t, "random")}
+			d, refusal := NewView(own).Choose(&r)
+			if refusal != nil {
+				break
+			}
+			if v := judge(c, d); v != "" {
+				return v
+			}
+			if d.Reason == ReasonSpill {
+				spilled[d.DataCentre]++
+				for i := range own.DataCentres {
+					if own.DataCentres[i].Name == d.DataCentre {
+						own.DataCentres[i].SpillSent++
+					}
+				}
+			}
+		}
+	}
+	for _, dc := range c.DataCentres {
+		if float64(spilled[dc.Name]) > float64(dc.Room)*dc.Ramp*DefaultSpillShare {
+			return fmt.Sprintf("%d requests were forwarded to %+v", spilled[dc.Name], dc)
+		}
+	}
+	return ""
+}
+
+func judge(c Config, d Decision) string {
+	var total, eligible, load int
+	for _, g := range c.Groups {
+		if g.DataCentre == d.DataCentre && g.Whole && !g.Leaving && g.Room.Requests > 0 {
+			total += g.Report.Requests
+			eligible++
+		}
+	}
+	for _, g := range c.Groups {
+		if g.Name != d.Group {
+			continue
+		}
+		load = g.Report.Requests
+		if !g.Whole || g.Leaving {
+			return "work for a group that is not open"
+		}
+		if g.DataCentre == c.DataCentre && g.Room.Requests == 0 {
+			return "work for a group without room"
+		}
+	}
+	for _, dc := range c.DataCentres {
+		if dc.Name == d.DataCentre && dc.Drained {
+			return "work for a drained data centre"
+		}
+	}
+	follows := d.Reason == ReasonPrefix || d.Reason == ReasonHome
+	if follows && float64(load) > DefaultBound*float64(total)/float64(eligible)+1 {
+		return "a cached prefix was followed above the bound"
+	}
+	return ""
+}
+
+func TestDecisionsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if v := decideAll(t, 0); v != "" {
+			t.Fatal(v)
+		}
+	})
+}
+
+func TestEachRuleIsNeeded(t *testing.T) {
+	for name, disabled := range map[string]guard{
+		"open": guardOpen, "room": guardRoom, "spill": guardSpill, "bound": guardBound,
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := ""
+			unguarded := rapid.Custom(func(t *rapid.T) string { return decideAll(t, disabled) })
+			for seed := 1; seed <= 300 && found == ""; seed++ {
+				found = unguarded.Example(seed)
+			}
+			NewWithT(t).Expect(found).NotTo(BeEmpty())
+		})
+	}
+}
+
+func ExampleView_Choose() {
+	view := NewView(config(nil))
+	d, _ := view.Choose(&Request{Account: "one", Model: "m", PromptTokens: 400})
+	fmt.Println(d.DataCentre, d.Reason, d.Work)
+	_, refusal := view.Choose(&Request{Account: "two", Model: "m"})
+	fmt.Println(refusal)
+	// Output:
+	// a LeastWork 50ms
+	// no group takes model "m" for client account "two": NotAllowed
+}
--- a/pkg/route/digest.go
+++ b/pkg/route/digest.go
@@ -1,9 +1,7 @@
 package route
 
-// Defaults of [Cache].
-const (
-	DefaultMaxBlocks = 4096
-)
+// DefaultMaxBlocks bounds a [Cache] that sets no bound.
+const DefaultMaxBlocks = 4096
 
 // Cache is what is known of one backend server's prefix cache, from its late
 // and incomplete events and from what was sent to it. The zero value is empty.
@@ -19,8 +17,7 @@
 }
 
 type entry struct {
-	age  uint64 // age of the cache when the block was last confirmed
-	sent bool   // assumed from a request that was sent, not yet confirmed
+	age uint64 // age of the cache when the block was last confirmed
 }
 
 // Event is a cache event of a backend server.
@@ -59,19 +56,17 @@
 	c.restart(boot)
 	for _, h := range blocks {
 		if _, ok := c.blocks[h]; !ok {
-			c.store(h, entry{age: c.age, sent: true})
+			c.store(h, entry{age: c.age})
 		}
 	}
 }
 
-// Confirm takes what a response said: the first hit blocks were cached.
-// Blocks beyond them were not, and are now.
-func (c *Cache) Confirm(boot string, blocks []uint64, hit int) {
+// Confirm notes that a request with the blocks has run: they are cached now.
+func (c *Cache) Confirm(boot string, blocks []uint64) {
 	c.restart(boot)
 	for _, h := range blocks {
 		c.store(h, entry{age: c.age})
 	}
-	_ = hit
 }
 
 func (c *Cache) restart(boot string) {
@@ -126,21 +121,39 @@
 	blocks map[uint64]bool // false is uncertain
 }
 
-// Match returns how many of the first blocks are likely cached. A gap in the
-// digest does not end the match: a later block's hash covers the earlier ones.
-// A match that is uncertain counts half.
+// Match returns how many of the first blocks are likely cached. It searches for
+// the last known block by halves, so a gap in the digest can shorten the match
+// but a missing first block does not end it. An uncertain match counts half.
 func (d Digest) Match(blocks []uint64) int {
-	if len(d.blocks) == 0 {
+	if len(d.blocks) == 0 || len(blocks) == 0 {
 		return 0
 	}
-	for i := len(blocks) - 1; i >= 0; i-- {
-		certain, ok := d.blocks[blocks[i]]
-		switch {
-		case ok && certain:
-			return i + 1
-		case ok:
-			return (i + 1) / 2
+	low, high := 0, len(blocks)-1
+	if certain, ok := d.blocks[blocks[high]]; ok {
+		return count(high, certain)
+	}
+	certain, found := d.blocks[blocks[0]]
+	for high-low > 1 {
+		middle := int(uint(low+high) / 2)
+		c, ok := d.blocks[blocks[middle]]
+		if !ok {
+			high = middle
+			if !found {
+				break // nothing known at either end or between
+			}
+			continue
 		}
+		low, certain, found = middle, c, true
+	}
+	if !found {
+		return 0
+	}
+	return count(low, certain)
+}
+
+func count(last int, certain bool) int {
+	if certain {
+		return last + 1
 	}
-	return 0
+	return (last + 1) / 2
 }
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -65,8 +65,22 @@
 	Routes      []Route // of the preset in force
 	Senders     int     // entry instances of the own data centre
 	Tuning      Tuning
+
+	disabled guard
 }
 
+// guard is a set of rules that tests switch off.
+type guard uint
+
+const (
+	guardOpen  guard = 1 << iota // only whole and open groups
+	guardRoom                    // only groups with room
+	guardSpill                   // only a part of a neighbour's room
+	guardBound                   // a cached prefix only up to the bound of load
+)
+
+func (v *View) on(g guard) bool { return v.disabled&g == 0 }
+
 // Tuning holds the constants of the choice. Zero fields take the defaults.
 type Tuning struct {
 	Bound      float64 // load of a group with a cached prefix, in parts of the mean load
@@ -90,6 +104,7 @@
 	routes      map[routeKey]*candidates
 	tuning      Tuning
 	senders     int
+	disabled    guard
 }
 
 type routeKey struct {
@@ -121,13 +136,14 @@
 		routes:      make(map[routeKey]*candidates),
 		tuning:      c.Tuning.withDefaults(),
 		senders:     max(c.Senders, 1),
+		disabled:    c.disabled,
 	}
 	closed := v.closedDataCentres()
-	v.ownOpen = !closed[c.DataCentre]
+	v.ownOpen = !closed[c.DataCentre] || !v.on(guardOpen)
 	index := make(map[string]int32, len(c.Groups))
 	for i, g := range c.Groups {
 		index[g.Name] = int32(i)
-		v.groups = append(v.groups, newGroup(g, closed[g.DataCentre]))
+		v.groups = append(v.groups, v.newGroup(g, closed[g.DataCentre]))
 	}
 	for _, r := range c.Routes {
 		v.addRoute(r, index)
@@ -158,9 +174,9 @@
 	return closed
 }
 
-func newGroup(g Group, closed bool) group {
+func (v *View) newGroup(g Group, closed bool) group {
 	out := group{Group: g, seed: xxhash.Sum64String(g.Name)}
-	out.open = g.Whole && !g.Leaving && !closed
+	out.open = g.Whole && !g.Leaving && !closed || !v.on(guardOpen)
 	out.work = g.pendingWork()
 	out.load = g.load()
 	return out
