--- /dev/null
+++ b/internal/measure/model_policy.go
@@ -0,0 +1,211 @@
+package measure
+
+import (
+	"errors"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/limit"
+	"github.com/chicorystall/chicorystall/pkg/route"
+)
+
+// retryAfter is when a request that got no permit is tried again.
+const retryAfter = 10 * time.Millisecond
+
+// serveRoundRobin takes the next server in turn whose static share is not used
+// up, and the other data centres in turn when the own one is taken out.
+func (e *modelEntry) serveRoundRobin(j *modelJob) bool {
+	f := e.fleet
+	if e.dc.drained && !j.moved {
+		for range f.dcs {
+			e.rotation++
+			dc := f.dcs[e.rotation%len(f.dcs)]
+			if dc != e.dc && !dc.drained && !dc.lost {
+				e.pop()
+				e.forward(j, dc)
+				return true
+			}
+		}
+		return false
+	}
+	share := max(serverBatch/len(e.dc.entries), 1)
+	for range e.peers {
+		e.rotation++
+		p := e.peers[e.rotation%len(e.peers)]
+		if !p.connected || p.inFlight >= share {
+			continue
+		}
+		e.pop()
+		e.run(j, p, func(bool) {})
+		return true
+	}
+	return false
+}
+
+// serveProduct chooses by the view, and takes a permit, with a loan if need be.
+func (e *modelEntry) serveProduct(j *modelJob) bool {
+	f := e.fleet
+	r := route.Request{
+		Account:      accountName(j.account),
+		Model:        "m",
+		Blocks:       j.blocks,
+		PromptTokens: j.prompt,
+		OutputTokens: j.estimate,
+		Random:       f.rng.Uint64(),
+		Avoid:        j.avoid,
+		Forwarded:    j.moved,
+	}
+	if f.policy.noAffinity {
+		r.Blocks = nil
+	}
+	d, refusal := e.view().Choose(&r)
+	if refusal != nil {
+		return false
+	}
+	if d.DataCentre != e.dc.name {
+		e.pop()
+		e.forward(j, f.dc(d.DataCentre))
+		return true
+	}
+	for _, p := range e.peers {
+		if p.server.name == d.Backend {
+			return e.permit(j, p, maxBorrowing)
+		}
+	}
+	return false
+}
+
+// permit takes a permit for the head of the queue, and borrows when the own
+// share is used up. It reports whether the request was sent at once.
+func (e *modelEntry) permit(j *modelJob, p *modelPeer, tries int) bool {
+	permit, err := e.ledger.Acquire(p.server.name, j.prompt+j.estimate)
+	if err == nil {
+		e.pop()
+		e.run(j, p, func(whole bool) { e.send(e.ledger.Release(permit, whole)) })
+		return true
+	}
+	var refusal *limit.Refusal
+	if !errors.As(err, &refusal) || len(refusal.Lenders) == 0 || tries == 0 {
+		e.send(e.ledger.Abandon(p.server.name))
+		return false
+	}
+	lender := refusal.Lenders[(maxBorrowing-tries)%len(refusal.Lenders)]
+	request := e.ledger.Borrow(p.server.name, lender, refusal.Missing, false)
+	e.borrowing = true
+	e.messages += 2
+	e.to(lender, func(to *modelEntry) {
+		reply := to.ledger.Lend(request)
+		e.fleet.clock.after(delayInside, func() { e.borrowed(j, p, reply, tries-1) })
+	})
+	return false
+}
+
+func (e *modelEntry) borrowed(j *modelJob, p *modelPeer, reply limit.LoanReply, tries int) {
+	e.borrowing = false
+	_, out := e.ledger.Accept(reply)
+	e.send(out)
+	head, ok := e.queue.Peek()
+	if ok && e.waiting[head.ID] == j && !e.permit(j, p, tries) {
+		if !e.borrowing {
+			j.avoid = p.server.name
+			e.fleet.clock.after(retryAfter, e.pump)
+		}
+		return
+	}
+	e.pump()
+}
+
+// to runs a message's effect at another entry instance of the data centre.
+func (e *modelEntry) to(m limit.Member, deliver func(*modelEntry)) {
+	for _, other := range e.dc.entries {
+		if other.ledger.Self == m && !other.dead {
+			e.fleet.clock.after(delayInside, func() { deliver(other) })
+		}
+	}
+}
+
+// send carries the messages that a call on the ledger gave rise to.
+func (e *modelEntry) send(out limit.Outbox) {
+	for _, r := range out.Returns {
+		e.messages++
+		e.to(r.Lender, func(to *modelEntry) { to.send(to.ledger.Returned(r)) })
+	}
+}
+
+// view makes the picture that a choice is made on.
+func (e *modelEntry) view() *route.View {
+	f := e.fleet
+	c := route.Config{DataCentre: e.dc.name, Senders: len(e.dc.entries)}
+	c.Tuning.Bound = f.policy.bound
+	var names []string
+	for _, dc := range f.dcs {
+		c.DataCentres = append(c.DataCentres, route.DataCentre{
+			Name:      dc.name,
+			Drained:   dc.drained,
+			Reachable: !dc.lost || f.clock.now < dc.roomAt+noticeLoss,
+			Ramp:      dc.ramp(f.clock.now),
+			Room:      dc.room,
+			SpillSent: e.spilledSince(dc),
+		})
+		if dc == e.dc {
+			continue
+		}
+		for _, s := range dc.servers {
+			bears := limit.Amount{Requests: serverBatch, Tokens: serverKVTokens}
+			c.Groups = append(c.Groups, route.Group{Name: s.name, Model: "m", DataCentre: dc.name, Backend: s.name, Whole: true, Bears: bears})
+		}
+	}
+	for _, p := range e.peers {
+		c.Groups = append(c.Groups, e.group(p))
+	}
+	for _, g := range c.Groups {
+		names = append(names, g.Name)
+	}
+	c.Routes = []route.Route{{Accounts: []string{"*"}, Groups: names}}
+	return route.NewView(c)
+}
+
+func (e *modelEntry) spilledSince(dc *modelDC) int {
+	n := 0
+	for _, at := range e.spilled[dc.name] {
+		if at >= dc.roomAt {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *modelEntry) group(p *modelPeer) route.Group {
+	s := p.server
+	g := route.Group{
+		Name:       s.name,
+		Model:      "m",
+		DataCentre: s.dataCentre,
+		Backend:    s.name,
+		Whole:      p.connected,
+		Bears:      e.ledger.Bears(s.name),
+		Digest:     p.digest,
+		Report: route.Report{
+			Age:           e.fleet.clock.now - p.report.at,
+			Requests:      p.report.requests,
+			PendingTokens: p.report.pending,
+			TokensPerSec:  serverPrefill,
+		},
+	}
+	for _, send := range p.sends {
+		if send.at > p.report.at {
+			g.Sent.Requests++
+			g.Sent.PendingTokens += max(send.tokens, 0)
+		}
+		if send.end > p.report.at {
+			g.Sent.Ended++
+		}
+	}
+	// A loan can give what the own share lacks, so the room is that of all.
+	inUse := max(g.Report.Requests+g.Sent.Requests-g.Sent.Ended, 0)
+	own := e.ledger.Room(s.name)
+	g.Room = limit.Amount{
+		Requests: max(own.Requests, g.Bears.Requests-inUse),
+		Tokens:   max(own.Tokens, g.Bears.Tokens),
+	}
+	return g
+}
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -48,6 +48,7 @@
 	amount    Amount
 	seq       int64 // number of the request
 	coldEpoch int64
+	age       int // ticks since the loan came
 }
 
 // peer is what a ledger knows of another member.
--- a/pkg/limit/loan.go
+++ b/pkg/limit/loan.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return Outbox{}
 	}
-	return l.returnIdle(l.account(loan.key))
+	return l.returnIdle(l.account(loan.key), 0)
 }
 
 // loansFor returns the account's loans of lenders that have settled into the
@@ -108,14 +108,15 @@
 	return a.share.Minus(l.ownUse(a)).Minus(l.countedLent(a)).Positive()
 }
 
-// returnIdle returns the loans that the requests in flight do not need.
-func (l *Ledger) returnIdle(a *account) Outbox {
+// returnIdle returns the loans, of at least the age, that the requests in flight
+// do not need.
+func (l *Ledger) returnIdle(a *account, minAge int) Outbox {
 	var out Outbox
 	for _, id := range l.heldFor(a) {
-		if l.needs(a, id) {
+		loan := l.held[id]
+		if loan.age < minAge || l.needs(a, id) {
 			continue
 		}
-		loan := l.held[id]
 		a.borrowed = a.borrowed.Minus(loan.amount)
 		delete(l.held, id)
 		out.Returns = append(out.Returns, Return{Lender: loan.lender, Loans: []LoanID{id}})
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -48,6 +48,19 @@
 	return Permit{Backend: backend, Boot: a.boot, Number: l.tickets, Tokens: tokens}, nil
 }
 
+// Room returns what this member may send to the backend server without a new
+// loan.
+func (l *Ledger) Room(backend string) Amount {
+	a := l.account(key{backend, l.current[backend]})
+	return a.share.Plus(l.usableLoans(a)).Minus(a.inFlight).Minus(l.countedLent(a)).Positive()
+}
+
+// Bears returns what the backend server bears by this member's reading: the
+// limit, or the level while it is cold.
+func (l *Ledger) Bears(backend string) Amount {
+	return Amount{Requests: l.Level(backend), Tokens: l.newest().limits.Backends[backend].Tokens}
+}
+
 // missing returns by how much the need exceeds what is left.
 func (l *Ledger) missing(a *account, need Amount) Amount {
 	left := a.share.Plus(l.usableLoans(a)).Minus(a.inFlight).Minus(l.countedLent(a))
@@ -120,7 +133,7 @@
 	if completed {
 		l.complete(a)
 	}
-	out := l.returnIdle(a)
+	out := l.returnIdle(a, 0)
 	if l.Activated() {
 		out.add(l.serveWaiting(a))
 	} else {
--- a/pkg/limit/statement.go
+++ b/pkg/limit/statement.go
@@ -9,6 +9,9 @@
 // outlives without a new Acquire.
 const maxTicketAge = 2
 
+// maxIdleAge is how many ticks a loan is kept without use.
+const maxIdleAge = 2
+
 func (l *Ledger) peer(m Member) *peer {
 	p, ok := l.peers[m]
 	if !ok {
@@ -102,15 +105,24 @@
 	return l.progress()
 }
 
-// Tick ends places of the member's own requests that nobody renewed. The caller
-// calls it once for each round of statements.
+// Tick returns loans that no request used, and ends places of the member's own
+// requests that nobody renewed. The caller calls it once for each round of
+// statements.
 func (l *Ledger) Tick() Outbox {
 	l.init()
-	for _, a := range l.accounts {
+	for id, loan := range l.held {
+		loan.age++
+		l.held[id] = loan
+	}
+	var out Outbox
+	for _, k := range l.sortedKeys() {
+		a := l.accounts[k]
 		a.ticketAge++
 		if a.ticketAge > maxTicketAge {
 			a.ticket = 0
 		}
+		out.add(l.returnIdle(a, maxIdleAge))
 	}
-	return l.progress()
+	out.add(l.progress())
+	return out
 }
