--- a/internal/measure/model_fleet.go
+++ b/internal/measure/model_fleet.go
@@ -28,6 +28,7 @@
 	roundRobin bool // with static shares; otherwise shares that are lent
 	noAffinity bool
 	fifo       bool // one queue for all client accounts
+	noRamp     bool // a cold backend server is given its whole limit
 	bound      float64
 }
 
@@ -52,6 +53,7 @@
 	name       string
 	drained    bool
 	lost       bool
+	lostAt     time.Duration
 	returnedAt time.Duration
 	epoch      int64
 	entries    []*modelEntry
@@ -60,6 +62,11 @@
 	roomAt     time.Duration
 }
 
+// seemsOpen reports whether others still believe that the data centre answers.
+func (dc *modelDC) seemsOpen(now time.Duration) bool {
+	return !dc.lost || now < dc.lostAt+noticeLoss
+}
+
 func (dc *modelDC) ramp(now time.Duration) float64 {
 	if dc.returnedAt == 0 {
 		return 1
@@ -135,8 +142,12 @@
 
 func (f *modelFleet) limits(dc *modelDC) limit.Limits {
 	l := limit.Limits{Version: 1, Backends: make(map[string]limit.Limit)}
+	cold := serverColdBears
+	if f.policy.noRamp {
+		cold = serverBatch
+	}
 	for _, s := range dc.servers {
-		l.Backends[s.name] = limit.Limit{InFlight: serverBatch, Tokens: serverKVTokens * 9 / 10, ColdInFlight: serverColdBears}
+		l.Backends[s.name] = limit.Limit{InFlight: serverBatch, Tokens: serverKVTokens * 9 / 10, ColdInFlight: cold}
 	}
 	return l
 }
@@ -186,6 +197,9 @@
 
 // summarise tells the neighbours how much room the data centre has.
 func (f *modelFleet) summarise(dc *modelDC) {
+	if dc.lost {
+		return
+	}
 	room := 0
 	for _, s := range dc.servers {
 		if s.up {
@@ -220,7 +234,7 @@
 
 // lose ends everything in a data centre without notice.
 func (f *modelFleet) lose(dc *modelDC) {
-	dc.lost = true
+	dc.lost, dc.lostAt = true, f.clock.now
 	for _, s := range dc.servers {
 		s.stop()
 	}
--- a/internal/measure/model_load.go
+++ b/internal/measure/model_load.go
@@ -132,7 +132,7 @@
 	f.jobs = append(f.jobs, j)
 	var open []*modelEntry
 	for _, dc := range f.dcs {
-		if !dc.lost || f.clock.now < dc.roomAt+noticeLoss {
+		if dc.seemsOpen(f.clock.now) {
 			open = append(open, dc.entries...)
 		}
 	}
--- a/internal/measure/model_policy.go
+++ b/internal/measure/model_policy.go
@@ -141,7 +141,7 @@
 		c.DataCentres = append(c.DataCentres, route.DataCentre{
 			Name:      dc.name,
 			Drained:   dc.drained,
-			Reachable: !dc.lost || f.clock.now < dc.roomAt+noticeLoss,
+			Reachable: dc.seemsOpen(f.clock.now),
 			Ramp:      dc.ramp(f.clock.now),
 			Room:      dc.room,
 			SpillSent: e.spilledSince(dc),
--- a/internal/measure/model_server.go
+++ b/internal/measure/model_server.go
@@ -46,6 +46,7 @@
 	up         bool
 	warm       bool
 	completed  int // since boot
+	slow       int // times slower than the others; 0 counts as 1
 	waiting    []*sequence
 	running    []*sequence
 	stepping   bool
@@ -55,6 +56,7 @@
 	removed    []uint64
 	events     uint64
 
+	onSubmit  func() // nil does nothing
 	falls     int
 	overloads int // requests that came above what it bears
 	hitTokens int
@@ -95,6 +97,9 @@
 	if !s.up {
 		return false
 	}
+	if s.onSubmit != nil {
+		s.onSubmit()
+	}
 	s.waiting = append(s.waiting, q)
 	if s.holds() > s.bears() {
 		s.overloads++
@@ -184,7 +189,7 @@
 	if s.bears() < serverBatch {
 		d *= serverColdFactor
 	}
-	return d
+	return d * time.Duration(max(s.slow, 1))
 }
 
 func (s *modelServer) endStep() {
--- a/internal/measure/model_test.go
+++ b/internal/measure/model_test.go
@@ -16,3 +16,7 @@
 }
 
 func TestShowRouting(t *testing.T) { show(Routing(1)) }
+
+func TestShowCold(t *testing.T) { show(LimitsColdStart(1)) }
+func TestShowFair(t *testing.T) { show(RoutingFairness(1)) }
+func TestShowDC(t *testing.T)   { show(RoutingDataCentre(1)) }
--- a/internal/measure/routing.go
+++ b/internal/measure/routing.go
@@ -11,6 +11,7 @@
 	routingRun    = 120 * time.Second
 	// saturation is a load that no policy can serve, in requests a second for each server.
 	saturation = 12
+	slowTimes  = 3
 )
 
 // capacity returns how many requests a second the plain policy completes when
@@ -41,15 +42,21 @@
 	full := capacity(seed, librarySize)
 	for _, load := range []float64{0.5, 0.8, 0.95} {
 		for _, policy := range policies {
-			t.Rows = append(t.Rows, routingRow(seed, load, full, policy))
+			t.Rows = append(t.Rows, routingRow(seed, load, full, policy, 1))
 		}
 	}
+	for _, policy := range policies[:4] {
+		t.Rows = append(t.Rows, routingRow(seed, 0.8, full, policy, slowTimes))
+	}
 	t.Note = fmt.Sprintf("%s; 1.0x is %.1f requests a second, what round robin completes when saturated", librarySize.name, full)
 	return t
 }
 
-func routingRow(seed uint64, load, full float64, policy modelPolicy) []string {
+func routingRow(seed uint64, load, full float64, policy modelPolicy, slow int) []string {
 	f := newModelFleet(seed, librarySize, policy)
+	for _, dc := range f.dcs {
+		dc.servers[0].slow = slow
+	}
 	f.offer(load*full, routingWarmUp+routingRun)
 	f.clock.runUntil(routingWarmUp + routingRun + 30*time.Second)
 	s := f.service(routingWarmUp, routingWarmUp+routingRun, nil)
@@ -60,8 +67,12 @@
 		overloads += server.overloads
 		falls += server.falls
 	}
+	name := fmt.Sprintf("%.2fx", load)
+	if slow > 1 {
+		name += ", a slow server in each DC"
+	}
 	return []string{
-		fmt.Sprintf("%.2fx", load), policy.name, millis(s.first.quantile(0.5)), millis(s.first.p95()),
+		name, policy.name, millis(s.first.quantile(0.5)), millis(s.first.p95()),
 		percent(hit, all), percent(s.whole, s.offered), percent(s.refused, s.offered), fmt.Sprint(overloads), fmt.Sprint(falls),
 	}
 }
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -4,7 +4,7 @@
 
 const (
 	assumedPrefillRate = 8000 // tokens a second of a backend server that reports none
-	stepTime           = 30 * time.Millisecond
+	stepTime           = 10 * time.Millisecond
 )
 
 // requests estimates what the backend server holds: its report, corrected by
@@ -24,7 +24,7 @@
 func (g *Group) pendingWork() time.Duration {
 	reported := tokensTime(g.Report.PendingTokens, g.prefillRate()) - g.Report.Age
 	own := tokensTime(g.Sent.PendingTokens, g.prefillRate())
-	return max(reported, 0) + own + time.Duration(g.requests())*stepTime/time.Duration(max(g.Bears.Requests, 1))
+	return max(reported, 0) + own + time.Duration(g.requests())*stepTime
 }
 
 func (g *Group) prefillRate() int {
