--- a/pkg/limit/level.go
+++ b/pkg/limit/level.go
@@ -94,11 +94,11 @@
 }
 
 // learn merges a peer's reading.
-func (l *Ledger) learn(from Member, reading Level) {
+func (l *Ledger) learn(from Member, reading Level) *account {
 	a := l.account(key{reading.Backend, reading.Boot})
 	lv := &a.level
 	if reading.ColdEpoch < lv.coldEpoch {
-		return
+		return a
 	}
 	if reading.ColdEpoch > lv.coldEpoch {
 		*lv = level{coldEpoch: reading.ColdEpoch}
@@ -109,11 +109,12 @@
 		l.changedLevel(a)
 	}
 	if reading.Value < lv.value {
-		return
+		return a
 	}
 	if lv.byPeer == nil {
 		lv.byPeer = make(map[Member]int64)
 	}
 	lv.byPeer[from] = max(lv.byPeer[from], reading.Completed)
 	l.grow(a, l.newest().limits.Backends[a.backend])
+	return a
 }
--- a/pkg/limit/loan.go
+++ b/pkg/limit/loan.go
@@ -24,6 +24,7 @@
 	covers := slices.Contains(l.settled[r.Lender], l.own) || !l.on(guardCover)
 	if !ok && l.on(guardAbandoned) || !covers && !r.Granted.IsZero() {
 		delete(l.pending, r.ID)
+		l.peer(r.Lender).returned = l.seq + 1
 		return false, Outbox{Returns: []Return{{Lender: r.Lender, Loans: []LoanID{r.ID}}}}
 	}
 	if r.Waiting {
@@ -57,6 +58,7 @@
 	l.init()
 	if loan, ok := l.pending[id]; ok {
 		delete(l.pending, id)
+		l.peer(loan.lender).returned = l.seq + 1
 		return Outbox{Returns: []Return{{Lender: loan.lender, Loans: []LoanID{id}}}}
 	}
 	loan, ok := l.held[id]
@@ -119,6 +121,7 @@
 		}
 		a.borrowed = a.borrowed.Minus(loan.amount)
 		delete(l.held, id)
+		l.peer(loan.lender).returned = l.seq + 1
 		out.Returns = append(out.Returns, Return{Lender: loan.lender, Loans: []LoanID{id}})
 	}
 	return out
@@ -214,24 +217,38 @@
 	return out
 }
 
-func (l *Ledger) endLent(id LoanID) {
+// endLent takes a loan back and returns its account, or nil.
+func (l *Ledger) endLent(id LoanID) *account {
 	loan, ok := l.lent[id]
 	if !ok {
-		return
+		return nil
 	}
 	delete(l.lent, id)
 	a := l.account(loan.key)
 	a.lent = a.lent.Minus(loan.amount)
+	return a
 }
 
 // Returned takes back loans that the borrower has returned.
 func (l *Ledger) Returned(r Return) Outbox {
 	l.init()
+	touched := make(map[key]*account)
 	for _, id := range r.Loans {
-		l.endLent(id)
+		if a := l.endLent(id); a != nil {
+			touched[a.key] = a
+		}
 		l.unqueue(id)
 	}
-	return l.progress()
+	return l.moveOn(touched)
+}
+
+// moveOn serves the accounts in which something became free.
+func (l *Ledger) moveOn(touched map[key]*account) Outbox {
+	out := l.progress()
+	for _, k := range sortedKeys(touched) {
+		out.add(l.serveWaiting(touched[k]))
+	}
+	return out
 }
 
 func (l *Ledger) unqueue(id LoanID) {
@@ -239,3 +256,9 @@
 		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.request.ID == id })
 	}
 }
+
+// Awaits reports whether the request for a loan has no final reply yet.
+func (l *Ledger) Awaits(id LoanID) bool {
+	_, ok := l.pending[id]
+	return ok
+}
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -1,9 +1,6 @@
 package limit
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Permit allows one request to one life of a backend server. The request is
 // sent only over a connection on which the backend server told the same boot
@@ -95,18 +92,21 @@
 	return &Refusal{Backend: a.backend, Missing: missing, Lenders: l.lenders(a, limit)}
 }
 
-// lenders returns the other members that have a share. Each borrower starts
-// after its own rank, so that they do not all ask the same one first.
+// maxLenders bounds the lenders that a refusal names.
+const maxLenders = 8
+
+// lenders returns other members that have a share. Each refusal starts at the
+// next one, so that borrowers do not all ask the same lender first.
 func (l *Ledger) lenders(a *account, limit Limit) []Member {
-	table := l.newest().table
-	order := table.Order(a.backend)
-	rank := slices.Index(order, l.Self)
+	order := l.newest().table.Order(a.backend)
+	l.rotation++
+	start := l.rotation
 	var lenders []Member
 	for i := range order {
-		at := (rank + 1 + i) % len(order)
+		at := (start + i) % len(order)
 		m := order[at]
 		hasShare := share(min(limit.InFlight, a.bears(limit)), len(order), at) > 0
-		if hasShare && m != l.Self && !l.gone[m] {
+		if hasShare && m != l.Self && !l.gone[m] && len(lenders) < maxLenders {
 			lenders = append(lenders, m)
 		}
 	}
@@ -134,10 +134,7 @@
 		l.complete(a)
 	}
 	out := l.returnIdle(a, 0)
-	if l.Activated() {
-		out.add(l.serveWaiting(a))
-	} else {
-		out.add(l.progress())
-	}
+	out.add(l.progress())
+	out.add(l.serveWaiting(a))
 	return out
 }
--- a/pkg/limit/statement.go
+++ b/pkg/limit/statement.go
@@ -34,16 +34,36 @@
 		Version: l.Version(),
 		Settled: l.Settled(),
 	}
+	p.wantsAck = false
 	s.Loans = l.loansFrom(to)
-	for _, k := range l.sortedKeys() {
-		a := l.accounts[k]
+	for _, a := range l.accounts {
 		if a.level.changed > p.acked {
 			s.Levels = append(s.Levels, l.reading(a))
 		}
 	}
+	slices.SortFunc(s.Levels, func(a, b Level) int {
+		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Boot, b.Boot))
+	})
 	return s
 }
 
+// Due reports whether the other member lacks something that a statement would
+// tell it. The caller sends one in each round in which it is due, and otherwise
+// now and then, for statements that were lost.
+func (l *Ledger) Due(to Member) bool {
+	l.init()
+	p := l.peer(to)
+	if p.wantsAck || max(l.changed, p.returned) > p.acked || len(l.loansFrom(to)) > 0 {
+		return true
+	}
+	for _, a := range l.accounts {
+		if a.level.changed > p.acked {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) reading(a *account) Level {
 	value := a.level.value
 	if a.level.warm {
@@ -84,25 +104,35 @@
 	}
 	p.seq = max(p.seq, s.Seq)
 	p.acked = max(p.acked, s.Ack)
+	touched := make(map[key]*account)
 	for id, loan := range l.lent {
 		older := loan.seq < s.Seq || !l.on(guardSequence)
 		if id.Borrower == s.From && older && !slices.Contains(s.Loans, id) {
-			l.endLent(id)
+			a := l.endLent(id)
+			touched[a.key] = a
 		}
 	}
+	l.dropWaiting(s)
+	for _, reading := range s.Levels {
+		a := l.learn(s.From, reading)
+		touched[a.key] = a
+	}
+	known := slices.Contains(l.settled[s.From], s.Version)
+	if s.Settled {
+		l.noteSettled(s.From, s.Version)
+	}
+	p.wantsAck = p.wantsAck || len(s.Levels) > 0 || s.Settled && !known
+	return l.moveOn(touched)
+}
+
+// dropWaiting forgets the requests for loans that the borrower gave up.
+func (l *Ledger) dropWaiting(s Statement) {
 	for _, a := range l.accounts {
 		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool {
 			id := w.request.ID
 			return id.Borrower == s.From && id.Number < s.Seq && !slices.Contains(s.Loans, id)
 		})
 	}
-	for _, reading := range s.Levels {
-		l.learn(s.From, reading)
-	}
-	if s.Settled {
-		l.noteSettled(s.From, s.Version)
-	}
-	return l.progress()
 }
 
 // Tick returns loans that no request used, and ends places of the member's own
@@ -124,5 +154,6 @@
 		out.add(l.returnIdle(a, maxIdleAge))
 	}
 	out.add(l.progress())
+	out.add(l.serveAll())
 	return out
 }
