--- a/pkg/route/bench_test.go
+++ b/pkg/route/bench_test.go
@@ -52,3 +52,16 @@
 		})
 	}
 }
+
+func BenchmarkWithGroup(b *testing.B) {
+	for _, backends := range []int{105, 840} {
+		b.Run(fmt.Sprint(backends), func(b *testing.B) {
+			c := benchmarkConfig(backends)
+			v := NewView(c)
+			b.ReportAllocs()
+			for b.Loop() {
+				v.WithGroup(c.Groups[7])
+			}
+		})
+	}
+}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -29,7 +29,7 @@
 }
 
 func (v *View) decide(i int32, r *Request, reason Reason) Decision {
-	g := &v.groups[i]
+	g := v.groups[i]
 	cached := g.cachedTokens(r)
 	return Decision{
 		Group:        g.Name,
@@ -57,7 +57,7 @@
 // underBound reports whether the group's load is not far above the mean, so
 // that work with a common prefix does not pile up on one backend server.
 func (v *View) underBound(i int32, s survey) bool {
-	g := &v.groups[i]
+	g := v.groups[i]
 	mean := s.load / float64(s.eligible)
 	bears := float64(max(g.Bears.Requests, 1))
 	return float64(g.requests()) <= v.tuning.Bound*mean*bears+1 || !v.on(guardBound)
@@ -76,7 +76,7 @@
 func (v *View) survey(list []int32, r *Request) survey {
 	s := survey{best: -1, home: -1}
 	for _, i := range list {
-		g := &v.groups[i]
+		g := v.groups[i]
 		if !v.takes(g, r) || g.Backend == r.Avoid {
 			continue
 		}
@@ -123,7 +123,7 @@
 // onlyAvoided returns the group to avoid when no other one is eligible.
 func (v *View) onlyAvoided(list []int32, r *Request) (int32, Reason, bool) {
 	for _, i := range list {
-		if v.takes(&v.groups[i], r) {
+		if v.takes(v.groups[i], r) {
 			return i, ReasonOnly, true
 		}
 	}
@@ -133,7 +133,7 @@
 // nth returns the n-th eligible candidate.
 func (v *View) nth(list []int32, r *Request, n int) int32 {
 	for _, i := range list {
-		g := &v.groups[i]
+		g := v.groups[i]
 		if !v.takes(g, r) || g.Backend == r.Avoid {
 			continue
 		}
@@ -146,7 +146,7 @@
 }
 
 func (v *View) workWith(i int32, r *Request) time.Duration {
-	g := &v.groups[i]
+	g := v.groups[i]
 	return g.work + tokensTime(r.PromptTokens-g.cachedTokens(r), g.prefillRate())
 }
 
@@ -157,7 +157,7 @@
 	best := int32(-1)
 	bestLeft := 0.0
 	for _, i := range list {
-		g := &v.groups[i]
+		g := v.groups[i]
 		if !g.open || g.Backend == r.Avoid || !need.FitsIn(g.Bears) {
 			continue
 		}
@@ -198,7 +198,7 @@
 	}
 	for _, list := range lists {
 		for _, i := range list {
-			g := &v.groups[i]
+			g := v.groups[i]
 			switch {
 			case !g.open:
 			case need.FitsIn(g.Bears):
--- a/pkg/route/choose_test.go
+++ b/pkg/route/choose_test.go
@@ -159,6 +159,20 @@
 	g.Expect(d.Reason).To(Equal(reason))
 }
 
+func TestWithGroup(t *testing.T) {
+	g := NewWithT(t)
+	before := NewView(config(func(c *Config) { c.Groups[1].Whole = false }))
+	full := openGroup("a1", "")
+	full.Room = limit.Amount{}
+	after := before.WithGroup(full)
+	r := Request{Account: "one", Model: "m", PromptTokens: 100}
+	d, refusal := before.Choose(&r)
+	expectDecision(t, d, refusal, "a1", ReasonOnly)
+	d, refusal = after.Choose(&r)
+	expectDecision(t, d, refusal, "b1", ReasonSpill)
+	g.Expect(before.WithGroup(Group{Name: "unknown"})).To(BeIdenticalTo(before))
+}
+
 // anyConfig draws a view in which anything can be closed, full or lost.
 func anyConfig(t *rapid.T, disabled guard) Config {
 	c := Config{DataCentre: "dc0", Senders: rapid.IntRange(1, 4).Draw(t, "senders"), disabled: disabled}
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -99,7 +99,9 @@
 type View struct {
 	own         string
 	ownOpen     bool
-	groups      []group
+	groups      []*group
+	index       map[string]int32
+	closed      map[string]bool // data centres
 	dataCentres []DataCentre
 	routes      map[routeKey]*candidates
 	tuning      Tuning
@@ -138,19 +140,45 @@
 		senders:     max(c.Senders, 1),
 		disabled:    c.disabled,
 	}
-	closed := v.closedDataCentres()
-	v.ownOpen = !closed[c.DataCentre] || !v.on(guardOpen)
+	v.closed = v.closedDataCentres()
+	v.ownOpen = !v.closed[c.DataCentre] || !v.on(guardOpen)
 	index := make(map[string]int32, len(c.Groups))
+	v.groups = make([]*group, 0, len(c.Groups))
 	for i, g := range c.Groups {
 		index[g.Name] = int32(i)
-		v.groups = append(v.groups, v.newGroup(g, closed[g.DataCentre]))
+		v.groups = append(v.groups, v.newGroup(g, v.closed[g.DataCentre]))
 	}
 	for _, r := range c.Routes {
 		v.addRoute(r, index)
 	}
+	for _, c := range v.routes {
+		c.own = distinct(c.own)
+		c.foreign = distinct(c.foreign)
+	}
+	v.index = index
 	return v
 }
 
+func distinct(list []int32) []int32 {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// WithGroup returns a view in which the group of the same name has new load, room
+// and state. Its model and data centre stay. It is much cheaper than NewView.
+func (v *View) WithGroup(g Group) *View {
+	i, ok := v.index[g.Name]
+	if !ok {
+		return v
+	}
+	old := v.groups[i]
+	g.Model, g.DataCentre = old.Model, old.DataCentre
+	changed := *v
+	changed.groups = slices.Clone(v.groups)
+	changed.groups[i] = v.newGroup(g, v.closed[g.DataCentre])
+	return &changed
+}
+
 func (t Tuning) withDefaults() Tuning {
 	if t.Bound == 0 {
 		t.Bound = DefaultBound
@@ -174,8 +202,8 @@
 	return closed
 }
 
-func (v *View) newGroup(g Group, closed bool) group {
-	out := group{Group: g, seed: xxhash.Sum64String(g.Name)}
+func (v *View) newGroup(g Group, closed bool) *group {
+	out := &group{Group: g, seed: xxhash.Sum64String(g.Name)}
 	out.open = g.Whole && !g.Leaving && !closed || !v.on(guardOpen)
 	out.work = g.pendingWork()
 	out.load = g.load()
@@ -189,7 +217,7 @@
 			if !ok {
 				continue
 			}
-			g := &v.groups[i]
+			g := v.groups[i]
 			k := routeKey{account, g.Model}
 			c := v.routes[k]
 			if c == nil {
@@ -200,9 +228,7 @@
 			if g.DataCentre != v.own {
 				list = &c.foreign
 			}
-			if !slices.Contains(*list, i) {
-				*list = append(*list, i)
-			}
+			*list = append(*list, i)
 		}
 	}
 }
