--- a/internal/measure/model_entry.go
+++ b/internal/measure/model_entry.go
@@ -11,7 +11,8 @@
 
 const (
 	maxAttempts  = 3
-	maxBorrowing = 3 // lenders asked for one request before another group is tried
+	coldNotice   = 5 * time.Second // within which one more sign of cold start is the same one
+	maxBorrowing = 3               // lenders asked for one request before another group is tried
 )
 
 type modelReport struct {
@@ -32,6 +33,8 @@
 	digest    route.Digest
 	sends     []modelSend
 	inFlight  int // own
+	detector  limit.Detector
+	markedAt  time.Duration // when it was last marked cold
 }
 
 type modelSend struct {
@@ -105,6 +108,12 @@
 	if r.boot != p.boot {
 		return
 	}
+	if r.at < p.report.at {
+		return
+	}
+	if p.report.warm && !r.warm {
+		e.markCold(p)
+	}
 	p.report = r
 	if !lost {
 		p.cache.Apply(ev)
@@ -120,6 +129,37 @@
 	e.pump()
 }
 
+// suspect asks a server that has become slow for its state at once.
+func (e *modelEntry) suspect(p *modelPeer) {
+	if e.fleet.policy.latencyAlone {
+		e.markCold(p)
+		return
+	}
+	e.fleet.clock.after(2*delayInside, func() {
+		if p.server.up && p.server.bootID() == p.boot && p.server.bears() < serverBatch {
+			e.markCold(p)
+		}
+	})
+}
+
+// markCold lowers the level and tells the others at once.
+func (e *modelEntry) markCold(p *modelPeer) {
+	f := e.fleet
+	if f.policy.noNotice || f.clock.now < p.markedAt+coldNotice {
+		return
+	}
+	p.markedAt = f.clock.now
+	p.report.warm = false
+	e.ledger.MarkCold(p.server.name, p.boot)
+	for _, other := range e.dc.entries {
+		if other == e {
+			continue
+		}
+		s := e.ledger.Statement(other.ledger.Self)
+		f.clock.after(delayInside, func() { other.send(other.ledger.Reconcile(s)) })
+	}
+}
+
 // take queues a request and serves what it can.
 func (e *modelEntry) take(j *modelJob) {
 	j.entry = e
@@ -217,6 +257,12 @@
 			j.first = f.clock.now + delayInside
 		}
 	}
+	q.token = func(between time.Duration) {
+		bears := e.ledger.Level(p.server.name)
+		if bears == serverBatch && !f.policy.reportOnly && p.detector.Observe(between) {
+			e.suspect(p)
+		}
+	}
 	q.done = func(whole bool) {
 		p.inFlight--
 		for i := range p.sends {
@@ -228,8 +274,12 @@
 		release(whole)
 		e.finish(j, p, whole)
 	}
+	boot := p.boot
 	f.clock.after(delayInside, func() {
-		if !p.server.submit(q) {
+		// A restart ends the connection, and a new one asks for the boot ID.
+		restarted := p.server.bootID() != boot && !f.policy.roundRobin
+		if restarted || !p.server.submit(q) {
+			p.connected = false
 			q.done(false)
 		}
 	})
--- a/internal/measure/model_fleet.go
+++ b/internal/measure/model_fleet.go
@@ -24,12 +24,15 @@
 
 // modelPolicy is what a run of the model compares.
 type modelPolicy struct {
-	name       string
-	roundRobin bool // with static shares; otherwise shares that are lent
-	noAffinity bool
-	fifo       bool // one queue for all client accounts
-	noRamp     bool // a cold backend server is given its whole limit
-	bound      float64
+	name         string
+	roundRobin   bool // with static shares; otherwise shares that are lent
+	noAffinity   bool
+	fifo         bool // one queue for all client accounts
+	noRamp       bool // a cold backend server is given its whole limit
+	noNotice     bool // cold start is only seen by a new boot ID
+	reportOnly   bool // cold start is not seen by latency
+	latencyAlone bool // a slow server counts as cold without asking it
+	bound        float64
 }
 
 var (
--- a/internal/measure/model_server.go
+++ b/internal/measure/model_server.go
@@ -29,7 +29,9 @@
 	prefill int // prompt tokens that are still to be computed
 	made    int // output tokens
 	hit     int // prompt tokens from the prefix cache
+	phase   int // of the server when it came
 	first   func()
+	token   func(between time.Duration)
 	done    func(whole bool)
 }
 
@@ -45,11 +47,13 @@
 	boot       int
 	up         bool
 	warm       bool
-	completed  int // since boot
+	phase      int // grows each time that it turns cold
+	completed  int // in this phase
 	slow       int // times slower than the others; 0 counts as 1
 	waiting    []*sequence
 	running    []*sequence
 	stepping   bool
+	lastStep   time.Duration
 	cache      *list.List // of block hashes, most recent first
 	cached     map[uint64]*list.Element
 	stored     []uint64 // since the last cache event
@@ -90,6 +94,19 @@
 	return min(bears, serverBatch)
 }
 
+// holdsNew counts what came since it turned cold; the rest only runs out.
+func (s *modelServer) holdsNew() int {
+	n := 0
+	for _, list := range [][]*sequence{s.waiting, s.running} {
+		for _, q := range list {
+			if s.warm || q.phase == s.phase {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (s *modelServer) holds() int { return len(s.waiting) + len(s.running) }
 
 // submit takes a request, or reports that the connection was refused.
@@ -100,11 +117,12 @@
 	if s.onSubmit != nil {
 		s.onSubmit()
 	}
+	q.phase = s.phase
 	s.waiting = append(s.waiting, q)
-	if s.holds() > s.bears() {
+	if s.holdsNew() > s.bears() {
 		s.overloads++
 	}
-	if !s.warm && s.holds() > serverColdTipping*s.bears() {
+	if !s.warm && s.holdsNew() > serverColdTipping*s.bears() {
 		s.fall()
 		return true
 	}
@@ -131,7 +149,14 @@
 
 // start is the end of a restart.
 func (s *modelServer) start() {
-	s.up, s.warm, s.completed = true, false, 0
+	s.up = true
+	s.turnCold()
+}
+
+// turnCold makes it slow and frail without a new boot ID.
+func (s *modelServer) turnCold() {
+	s.warm, s.completed = false, 0
+	s.phase++
 }
 
 func (s *modelServer) kvUsed() int {
@@ -149,7 +174,8 @@
 	s.stepping = true
 	s.admit()
 	boot := s.boot
-	s.clock.after(s.stepTime(), func() {
+	s.lastStep = s.stepTime()
+	s.clock.after(s.lastStep, func() {
 		s.stepping = false
 		if s.boot == boot {
 			s.endStep()
@@ -208,6 +234,7 @@
 			}
 		} else {
 			q.made++
+			q.token(s.lastStep)
 		}
 		if q.made >= q.output {
 			ended = append(ended, q)
@@ -217,7 +244,9 @@
 	}
 	s.running = kept
 	for _, q := range ended {
-		s.completed++
+		if q.phase == s.phase {
+			s.completed++
+		}
 		q.done(true)
 	}
 	if s.kvUsed() > serverKVTokens {
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -192,3 +194,29 @@
 	// b sends 2
 	// b backend server "w1" has no share left: 1 requests and 0 tokens are missing
 }
+
+func TestDetector(t *testing.T) {
+	const usual, slow = 40 * time.Millisecond, 120 * time.Millisecond
+	tests := []struct {
+		name    string
+		between []time.Duration
+		want    int // verdicts
+	}{
+		{name: "usual", between: slices.Repeat([]time.Duration{usual}, 100)},
+		{name: "a few slow ones", between: slices.Repeat([]time.Duration{usual, slow, slow, slow}, 50)},
+		{name: "cold", between: append(slices.Repeat([]time.Duration{usual}, 50), slices.Repeat([]time.Duration{slow}, DefaultColdStrikes)...), want: 1},
+		{name: "always slow", between: slices.Repeat([]time.Duration{slow}, 100)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d Detector
+			verdicts := 0
+			for _, between := range tt.between {
+				if d.Observe(between) {
+					verdicts++
+				}
+			}
+			NewWithT(t).Expect(verdicts).To(Equal(tt.want))
+		})
+	}
+}
