--- /dev/null
+++ b/pkg/claim/key.go
@@ -0,0 +1,80 @@
+package claim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// DefaultShards is the number of claim streams when none is set.
+const DefaultShards = 16
+
+const (
+	keyTextBytes = 36 // canonical form with hyphens
+	keyVersion   = 7
+)
+
+// Key names one non-idempotent request of one client account to one service.
+type Key struct {
+	ClientAccount string
+	Service       string
+	ID            uuid.UUID // version 7, so it carries its time
+}
+
+// NewKey returns the key for the text that the caller sent.
+func NewKey(clientAccount, service, text string) (Key, error) {
+	id, err := ParseKey(text)
+	if err != nil {
+		return Key{}, err
+	}
+	return Key{ClientAccount: clientAccount, Service: service, ID: id}, nil
+}
+
+// ParseKey parses a UUID of version 7 in its canonical form (RFC 9562).
+func ParseKey(text string) (uuid.UUID, error) {
+	if len(text) != keyTextBytes {
+		return uuid.UUID{}, fmt.Errorf("key has %d bytes, a canonical UUID has %d", len(text), keyTextBytes)
+	}
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return uuid.UUID{}, fmt.Errorf("key %q is not a UUID: %w", text, err)
+	}
+	if id.Variant() != uuid.RFC4122 {
+		return uuid.UUID{}, fmt.Errorf("key %q has variant %v, want %v", text, id.Variant(), uuid.RFC4122)
+	}
+	if id.Version() != keyVersion {
+		return uuid.UUID{}, fmt.Errorf("key %q has version %d, want %d", text, id.Version(), keyVersion)
+	}
+	return id, nil
+}
+
+// Time returns the time at which the caller made the key, to the millisecond.
+func (k Key) Time() time.Time {
+	var b [8]byte
+	copy(b[2:], k.ID[:6])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[:])))
+}
+
+// Shard returns the number of the claim stream that holds the key.
+func (k Key) Shard(shards int) int {
+	h := xxhash.New()
+	for _, s := range []string{k.ClientAccount, k.Service} {
+		h.WriteString(strconv.Itoa(len(s)) + ":" + s)
+	}
+	h.Write(k.ID[:])
+	return int(h.Sum64() % uint64(shards))
+}
+
+// String returns the key for log lines.
+func (k Key) String() string {
+	return k.ClientAccount + "/" + k.Service + "/" + k.ID.String()
+}
+
+// Stream returns the name of the claim stream with this number.
+func Stream(shard int) string {
+	return "claims-" + strconv.Itoa(shard)
+}
