--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,150 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Defaults of Budget.
+const (
+	DefaultRatio        = 0.1
+	DefaultMinPerSecond = 0.1
+	DefaultBurst        = 10
+)
+
+// Budget allows retries as a share of first attempts. The zero value is ready.
+// It may be used by several goroutines at once.
+type Budget struct {
+	Ratio        float64 // retries for each first attempt; 0 means DefaultRatio
+	MinPerSecond float64 // retries a second without traffic; 0 means DefaultMinPerSecond, below 0 none
+	Burst        float64 // retries that may be saved up; 0 means DefaultBurst
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+// First notes a first attempt.
+func (b *Budget) First(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.add(orDefault(b.Ratio, DefaultRatio))
+}
+
+// Take spends one retry and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// giveBack returns a retry that was taken and not made.
+func (b *Budget) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(1)
+}
+
+// Wait returns how long it takes until a retry is allowed without any traffic;
+// it is 0 if one is allowed now, and maxWait if there is no minimum rate.
+func (b *Budget) Wait(now time.Time, maxWait time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	missing := 1 - b.tokens
+	if missing <= 0 {
+		return 0
+	}
+	rate := orDefault(b.MinPerSecond, DefaultMinPerSecond)
+	if rate <= 0 {
+		return maxWait
+	}
+	wait := missing / rate * float64(time.Second)
+	return time.Duration(min(wait, float64(maxWait)))
+}
+
+func (b *Budget) refill(now time.Time) {
+	if b.last.IsZero() {
+		b.last = now
+	}
+	elapsed := now.Sub(b.last)
+	if elapsed <= 0 {
+		return
+	}
+	b.last = now
+	b.add(max(orDefault(b.MinPerSecond, DefaultMinPerSecond), 0) * elapsed.Seconds())
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, orDefault(b.Burst, DefaultBurst))
+}
+
+// Budgets holds the budget of this instance and one for each backend server. A
+// retry needs both.
+type Budgets struct {
+	Instance Budget
+	Server   func(server string) *Budget // makes the budget of a backend server; nil means a zero Budget
+
+	mu      sync.Mutex
+	servers map[string]*Budget
+}
+
+// First notes a first attempt at a backend server.
+func (b *Budgets) First(now time.Time, server string) {
+	b.Instance.First(now)
+	b.server(server).First(now)
+}
+
+// Take spends a retry at a backend server from both budgets, or from none.
+func (b *Budgets) Take(now time.Time, server string) bool {
+	if !b.Instance.Take(now) {
+		return false
+	}
+	if !b.server(server).Take(now) {
+		b.Instance.giveBack()
+		return false
+	}
+	return true
+}
+
+// Wait returns how long it takes at most until both budgets allow a retry.
+func (b *Budgets) Wait(now time.Time, server string, maxWait time.Duration) time.Duration {
+	return max(b.Instance.Wait(now, maxWait), b.server(server).Wait(now, maxWait))
+}
+
+// Forget drops the budget of a backend server that is gone.
+func (b *Budgets) Forget(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.servers, server)
+}
+
+func (b *Budgets) server(name string) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[name]; s != nil {
+		return s
+	}
+	if b.servers == nil {
+		b.servers = map[string]*Budget{}
+	}
+	s := &Budget{}
+	if b.Server != nil {
+		s = b.Server(name)
+	}
+	b.servers[name] = s
+	return s
+}
+
+func orDefault[T int | float64 | time.Duration](v, def T) T {
+	if v == 0 {
+		return def
+	}
+	return v
+}
