--- a/pkg/claim/claimant.go
+++ b/pkg/claim/claimant.go
@@ -104,7 +104,7 @@
 // FutureKeyError. When ctx ends before the log's verdict, the attempt is given
 // up for good.
 func (c *Claimant) Begin(ctx context.Context, key Key, digest Digest) (Decision, error) {
-	margin := orDefault(c.SkewMargin, DefaultSkewMargin)
+	margin := 2 * orDefault(c.SkewMargin, DefaultSkewMargin) // of this clock and of the key's
 	if ahead := key.Time().Sub(c.now()); ahead > margin {
 		return Decision{}, &FutureKeyError{Key: key, Ahead: ahead, Margin: margin}
 	}
--- a/pkg/claim/judge.go
+++ b/pkg/claim/judge.go
@@ -7,17 +7,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// known returns a decision that needs no new claim. The fold may lag behind the
-// log, so a key that looks as if it did not run still needs a claim: only a fold
-// past that claim proves that nothing ran before Begin was called.
+// known returns a decision that needs no new claim, if there is one.
 func (r *runner) known(ctx context.Context, key Key, digest Digest) (Decision, bool) {
 	h := r.lookup(key)
 	if h.State == StateFree {
 		return Decision{}, false
 	}
 	d := r.judge(ctx, key, digest, h)
-	stale := d.Kind == NotRun && !r.part.disabled.has(guardFreshRead)
-	return d, !stale
+	return d, r.part.known(d)
 }
 
 // judge turns what the log says about a key that another claim holds into a
--- a/pkg/claim/outcome.go
+++ b/pkg/claim/outcome.go
@@ -59,8 +59,8 @@
 	return Outcome{Kind: Unknown, Reason: "claim log is unavailable, an earlier attempt may have run"}
 }
 
-// FutureKeyError reports a key whose time is too far ahead. The request was not
-// run, and the key can't have run anywhere.
+// FutureKeyError reports a key whose time is so far ahead that the log's clock
+// refuses every claim for it. The key did not run anywhere.
 type FutureKeyError struct {
 	Key    Key
 	Ahead  time.Duration
--- a/pkg/claim/participant.go
+++ b/pkg/claim/participant.go
@@ -190,6 +190,13 @@
 	return k != nil && k.hasSeen(id)
 }
 
+// known reports whether a decision holds without a new claim. The fold may lag
+// behind the log, so a key that looks as if it did not run still needs a claim:
+// only a fold past that claim proves that nothing ran before Begin was called.
+func (p *participant) known(d Decision) bool {
+	return d.Kind != NotRun || p.disabled.has(guardFreshRead)
+}
+
 // giveUp ends an attempt that waits for its verdict, and reports whether it did.
 // From then on the attempt never runs, whatever the log says later.
 func (p *participant) giveUp(a *attempt, reason string) bool {
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -75,10 +75,10 @@
 
 // Floor returns the oldest time of a key that the shard can judge.
 func (s *Shard) Floor() time.Time {
-	if s.newest.IsZero() {
-		return s.covered
+	var floor time.Time
+	if !s.newest.IsZero() {
+		floor = s.newest.Add(-orDefault(s.Window, DefaultWindow))
 	}
-	floor := s.newest.Add(-orDefault(s.Window, DefaultWindow))
 	if s.disabled.has(guardCoverage) || floor.After(s.covered) {
 		return floor
 	}
@@ -93,7 +93,7 @@
 	}
 	s.next = first
 	if s.Retention > 0 {
-		s.cover(readAt.Add(-s.Retention))
+		s.cover(readAt.Add(s.skewMargin() - s.Retention)) // readAt is not of the log's clock
 		return
 	}
 	s.skipped = true
