--- a/pkg/claim/machine_test.go
+++ b/pkg/claim/machine_test.go
@@ -54,6 +54,7 @@
 	began   int // step
 	attempt *attempt
 	told    bool
+	toldAt  int // step
 	outcome Outcome
 	ended   bool // its grant ended, or its process crashed
 	ranAt   int  // step, 0 if it did not run
--- a/pkg/claim/oracle_test.go
+++ b/pkg/claim/oracle_test.go
@@ -81,6 +81,7 @@
 // tell compares what a caller is told with what truly happened.
 func (m *machine) tell(c *call, out Outcome) error {
 	c.told = true
+	c.toldAt = m.step
 	c.outcome = out
 	k := c.key
 	switch out.Kind {
