--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
+)
+
+const (
+	// maxMessageBytes bounds one message between entry instances.
+	maxMessageBytes = 8 << 20
+	// writeTimeout is how long one write may make no progress.
+	writeTimeout = 10 * time.Second
+	// idleConnectionTimeout closes a server connection on which no call arrives.
+	idleConnectionTimeout = 2 * time.Minute
+)
+
+// errNotServed reports a call for which the handler has no function.
+var errNotServed = errors.New("call is not served by this entry instance")
+
+// Handler answers the calls of other entry instances. A nil field refuses its
+// call.
+type Handler struct {
+	// Exchange takes one heartbeat message and returns the messages in answer.
+	Exchange func(ctx context.Context, sender string, message []byte) ([][]byte, error)
+	// Forward runs a request here and sends the answer in chunks.
+	Forward func(ctx context.Context, request *peerpb.ForwardRequest, send func(*peerpb.ForwardChunk) error) error
+	// Borrow answers a request for parts of shares of backend servers.
+	Borrow func(ctx context.Context, sender string, message []byte) ([]byte, error)
+	// FetchState returns the newest state of a stream and its offset.
+	FetchState func(ctx context.Context, stream string, after int64) (offset int64, snapshot []byte, err error)
+	// AskClaim returns what is known here of a claimed key.
+	AskClaim func(ctx context.Context, sender string, message []byte) ([]byte, error)
+}
+
+// Server serves a Handler to other entry instances.
+type Server struct {
+	Handler Handler
+}
+
+// Serve accepts connections until ctx ends, then closes the listener.
+func (s Server) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: s.Handler}); err != nil {
+		return errors.Wrap(err, "register peer service")
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	err := server.Serve(ctx, &deadlineListener{Listener: listener})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "serve peers")
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		InactivityTimeout: idleConnectionTimeout,
+	}
+}
+
+// service adapts a Handler to the generated server interface.
+type service struct {
+	handler Handler
+}
+
+func (s *service) Exchange(ctx context.Context, in *peerpb.Envelope) (*peerpb.EnvelopeList, error) {
+	if s.handler.Exchange == nil {
+		return nil, errNotServed
+	}
+	answers, err := s.handler.Exchange(ctx, in.GetSender(), in.GetBody())
+	if err != nil {
+		return nil, err
+	}
+	list := &peerpb.EnvelopeList{}
+	for _, answer := range answers {
+		list.Messages = append(list.Messages, &peerpb.Envelope{Body: answer})
+	}
+	return list, nil
+}
+
+func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
+	if s.handler.Forward == nil {
+		return errNotServed
+	}
+	return s.handler.Forward(stream.Context(), in, stream.Send)
+}
+
+func (s *service) Borrow(ctx context.Context, in *peerpb.Envelope) (*peerpb.Envelope, error) {
+	return answerEnvelope(ctx, in, s.handler.Borrow)
+}
+
+func (s *service) AskClaim(ctx context.Context, in *peerpb.Envelope) (*peerpb.Envelope, error) {
+	return answerEnvelope(ctx, in, s.handler.AskClaim)
+}
+
+func (s *service) FetchState(ctx context.Context, in *peerpb.FetchStateRequest) (*peerpb.FetchStateReply, error) {
+	if s.handler.FetchState == nil {
+		return nil, errNotServed
+	}
+	offset, snapshot, err := s.handler.FetchState(ctx, in.GetStream(), in.GetAfterOffset())
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.FetchStateReply{Offset: offset, Snapshot: snapshot}, nil
+}
+
+func answerEnvelope(
+	ctx context.Context, in *peerpb.Envelope,
+	answer func(context.Context, string, []byte) ([]byte, error),
+) (*peerpb.Envelope, error) {
+	if answer == nil {
+		return nil, errNotServed
+	}
+	body, err := answer(ctx, in.GetSender(), in.GetBody())
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Envelope{Body: body}, nil
+}
+
+// deadlineListener gives every connection a deadline for each write, so that a
+// peer that stopped reading can't hold a stream for good.
+type deadlineListener struct {
+	net.Listener
+}
+
+func (l *deadlineListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &deadlineConn{Conn: conn}, nil
+}
+
+type deadlineConn struct {
+	net.Conn
+}
+
+func (c *deadlineConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
