--- /dev/null
+++ b/pkg/fleet/apply.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/cockroachdb/errors"
+)
+
+// Apply folds the entry into the state. It is a pure function: every replica
+// that folds the same entries has the same state. Entries that the state
+// already includes, entries that do not follow on the state's offset, and all
+// entries from one with a newer format on change nothing.
+func (s State) Apply(e journal.Entry) (State, Verdict) {
+	v := Verdict{Offset: e.Offset}
+	if s.stopped != nil {
+		return s, v.refuse("", "%v at offset %d", s.stopped, s.offset+1)
+	}
+	if e.Offset <= s.offset {
+		v.Repeat = true
+		return s, v.refuse("", "offset %d is folded already", e.Offset)
+	}
+	r, err := journal.DecodeRecord(e.Data, Format)
+	var newer *journal.FormatError
+	if errors.As(err, &newer) {
+		return s.stop(e, newer)
+	}
+	if err == nil && r.Kind == journal.KindSnapshot {
+		return s.applySnapshot(e, r)
+	}
+	if e.Offset != s.offset+1 {
+		return s, v.refuse("", "offset %d does not follow on offset %d", e.Offset, s.offset)
+	}
+	s = s.withOffset(e.Offset)
+	if err != nil {
+		return s, v.refuse("", "%v", err)
+	}
+	return s.applyRecord(r)
+}
+
+// stop returns the state that refuses all that follows.
+func (s State) stop(e journal.Entry, newer *journal.FormatError) (State, Verdict) {
+	v := Verdict{Offset: e.Offset}
+	v = v.refuse("", "%v", newer)
+	if s.disabled&guardFormat != 0 {
+		return s.withOffset(e.Offset), v
+	}
+	if e.Offset == s.offset+1 {
+		s.stopped = newer
+	}
+	return s, v
+}
+
+// applySnapshot takes the state of a valid snapshot. It holds for every replica,
+// so all have the same state at the snapshot's offset.
+func (s State) applySnapshot(e journal.Entry, r journal.Record) (State, Verdict) {
+	v := Verdict{Offset: e.Offset, ID: r.ID, Kind: KindSnapshot}
+	next := s
+	if e.Offset == s.offset+1 {
+		next = s.withOffset(e.Offset)
+	}
+	if r.Presumes != e.Offset-1 && s.disabled&guardSnapshot == 0 {
+		return next, v.refuse("Presumes", "snapshot stands for entries up to %d, not up to %d", r.Presumes, e.Offset-1)
+	}
+	restored, err := Restore(r.Body, e.Offset)
+	if err != nil {
+		return next, v.refuse("Body", "%v", err)
+	}
+	restored.disabled = s.disabled
+	v.Accepted = true
+	return restored, v
+}
+
+// applyRecord decides about a record at the state's own offset.
+func (s State) applyRecord(r journal.Record) (State, Verdict) {
+	if first, ok := s.Verdict(r.ID); ok && s.disabled&guardIDs == 0 {
+		first.Repeat = true
+		return s, first
+	}
+	v := Verdict{Offset: s.offset, ID: r.ID, Kind: parseKind(r.Kind)}
+	next, v := s.decide(r, v)
+	if len(v.Findings) > 0 {
+		return s.withVerdict(v), v
+	}
+	v.Accepted = true
+	return next.withVerdict(v), v
+}
+
+// decide returns the state after the record, or the verdict's findings.
+func (s State) decide(r journal.Record, v Verdict) (State, Verdict) {
+	if r.After >= s.offset {
+		return s, v.refuse("After", "offset %d is not before the record's own offset %d", r.After, s.offset)
+	}
+	if r.After < s.offset-IDWindow && s.disabled&guardAge == 0 {
+		return s, v.refuse("After", "record is from after offset %d, more than %d entries ago", r.After, IDWindow)
+	}
+	if v.Kind == KindUnknown {
+		return s, v.refuse("Kind", "kind %q does not exist in format %d", r.Kind, r.Format)
+	}
+	p, err := planOf(v.Kind, r)
+	if err != nil {
+		return s, v.refuse("Body", "%v", err)
+	}
+	if held := s.VersionOf(p.item); r.Presumes != held.Offset && s.disabled&guardPresumes == 0 {
+		v.Winner = s.winner(p.item)
+		return s, v.refuse(p.item.String(), "presumes version %d, but %s", r.Presumes, v.Winner.describe())
+	}
+	next, err := p.apply(s, Version{s.offset, r.Writer})
+	if err != nil {
+		return s, v.refuse(p.item.String(), "%v", err)
+	}
+	next.inForce = cmp.Or(next.inForce, next.config.defaultPreset())
+	v.Findings = Check(next.config)
+	return next, v
+}
+
+// describe says what the version of an item is.
+func (v Version) describe() string {
+	if v.Offset == 0 {
+		return "it does not exist"
+	}
+	return fmt.Sprintf("%q changed it at offset %d", v.Writer, v.Offset)
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -55,6 +55,7 @@
 
 // Preset is a named set of routes. Exactly one preset is in force.
 type Preset struct {
-	Name   string
-	Routes []Route
+	Name    string
+	Default bool    // in force when a fleet file is imported and no preset is in force yet
+	Routes  []Route `toml:"Route"`
 }
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -42,6 +42,7 @@
 	// ErrUnavailable (no effect) or ErrOutcomeUnknown (may have taken effect).
 	Append func(ctx context.Context, stream string, data []byte) (Offset, error)
 	// Read returns entries from the offset on, at most limit of them. When there
-	// are none yet it waits up to wait for one.
+	// are none yet it waits up to wait for one. With ErrExpired the page has no
+	// entries, but First and Next are set. Any other error is ErrUnavailable.
 	Read func(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error)
 }
