fake, platform, engine: stand-ins and clients of the outside protocols

The daemon needs the platform and the model engines before it can be built.

Added the platform stand-in (log, instance list, weights, faults), the model worker stand-in (batching, prefix cache, cold start, orders, faults), and the clients of both. internal/engine/wire lets a request be written at most once and tells whether it was. Tests cover each append outcome and each stream fault; the worker's orders and groups have no tests yet.

--- /dev/null
+++ b/internal/engine/export_test.go
@@ -0,0 +1,7 @@
+package engine
+
+// Switches of the guards, for tests.
+var (
+	DisabledBootCheck = &disabledBootCheck
+	DisabledIdentity  = &disabledIdentity
+)
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,101 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	fake "github.com/chicorystall/chicorystall/internal/fake/platform"
+	"github.com/chicorystall/chicorystall/internal/platform"
+	"github.com/chicorystall/chicorystall/pkg/journal"
+)
+
+func start(t *testing.T, config fake.Config) (*fake.Platform, *platform.Client) {
+	t.Helper()
+	p := fake.New(config)
+	NewWithT(t).Expect(p.Start(t.Context(), "127.0.0.1:0")).To(Succeed())
+	c := platform.New(p.Address())
+	c.Timeout = 500 * time.Millisecond
+	t.Cleanup(c.Close)
+	return p, c
+}
+
+// TestAppendOutcome checks each fault's error against what the log then holds.
+func TestAppendOutcome(t *testing.T) {
+	tests := []struct {
+		name   string
+		config fake.Config
+		faults fake.Faults
+		want   error
+		taken  bool
+	}{
+		{"no fault", fake.Config{}, fake.Faults{}, nil, true},
+		{"slow", fake.Config{}, fake.Faults{SlowMilliseconds: 20}, nil, true},
+		{"busy", fake.Config{}, fake.Faults{Outage: fake.Busy}, journal.ErrUnavailable, false},
+		{"refused", fake.Config{}, fake.Faults{Outage: fake.Refuse}, journal.ErrUnavailable, false},
+		{"hanging", fake.Config{}, fake.Faults{Outage: fake.Hang}, journal.ErrOutcomeUnknown, false},
+		{"too slow", fake.Config{}, fake.Faults{SlowMilliseconds: 2000}, journal.ErrOutcomeUnknown, false},
+		{"lost answer", fake.Config{}, fake.Faults{LoseAnswers: 1}, journal.ErrOutcomeUnknown, true},
+		{"over the rate", fake.Config{AppendsPerSecond: 0.001}, fake.Faults{}, journal.ErrUnavailable, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, c := start(t, test.config)
+			log := c.Log()
+			_, err := log.Append(t.Context(), "config", []byte("first"))
+			g.Expect(err).NotTo(HaveOccurred())
+
+			p.Inject(test.faults)
+			_, err = log.Append(t.Context(), "config", []byte("second"))
+			if test.want == nil {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(err).To(MatchError(test.want))
+			}
+			next := journal.Offset(2)
+			if test.taken {
+				next = 3
+			}
+			g.Expect(p.Status().Streams["config"].Next).To(Equal(next))
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	g := NewWithT(t)
+	p, c := start(t, fake.Config{})
+	log := c.Log()
+	for _, data := range []string{"a", "b", "c"} {
+		_, err := log.Append(t.Context(), "claims-0", []byte(data))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+
+	t.Run("from the beginning", func(t *testing.T) {
+		g := NewWithT(t)
+		page, err := log.Read(t.Context(), "claims-0", 1, 2, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Entries).To(HaveLen(2))
+		g.Expect(page.First).To(BeEquivalentTo(1))
+		g.Expect(page.Next).To(BeEquivalentTo(4))
+		g.Expect(string(page.Entries[1].Data)).To(Equal("b"))
+	})
+
+	t.Run("waits for an entry", func(t *testing.T) {
+		g := NewWithT(t)
+		time.AfterFunc(20*time.Millisecond, func() { log.Append(context.Background(), "claims-0", []byte("d")) })
+		page, err := log.Read(t.Context(), "claims-0", 4, 10, 5*time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Entries).To(HaveLen(1))
+	})
+
+	t.Run("older than the retention", func(t *testing.T) {
+		g := NewWithT(t)
+		p.Inject(fake.Faults{KeepEntries: 1})
+		page, err := log.Read(t.Context(), "claims-0", 1, 10, 0)
+		g.Expect(err).To(MatchError(journal.ErrExpired))
+		g.Expect(page.First).To(BeEquivalentTo(4))
+	})
+}
--- /dev/null
+++ b/internal/platform/instances.go
@@ -0,0 +1,77 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chicorystall/chicorystall/internal/engine/wire"
+)
+
+// Instances returns the platform's lagging list.
+func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
+	var list InstanceList
+	err := c.callJSON(ctx, http.MethodGet, "/instances", nil, &list)
+	return list, err
+}
+
+// Register tells the platform about an instance, or that it still runs.
+func (c *Client) Register(ctx context.Context, instance Instance) error {
+	return c.callJSON(ctx, http.MethodPut, "/instances/"+url.PathEscape(instance.Name), instance, nil)
+}
+
+// KeepRegistered registers the instance at once and then at each interval until
+// the context ends. The function tells what to register each time, and report
+// gets each failure; it may be nil.
+func (c *Client) KeepRegistered(ctx context.Context, interval time.Duration, instance func() Instance, report func(error)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		if err := c.Register(ctx, instance()); err != nil && report != nil && ctx.Err() == nil {
+			report(err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Weights reads a model version's weights and returns their size in bytes.
+// Each piece is handed to use, which may be nil.
+func (c *Client) Weights(ctx context.Context, model, version string, use func([]byte) error) (int64, error) {
+	path := "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version)
+	req, err := wire.NewRequest(ctx, http.MethodGet, "http://"+c.Address+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, unavailable(errors.Newf("GET %s: status %d", path, resp.StatusCode))
+	}
+	n, err := io.Copy(pieceWriter(use), resp.Body)
+	if err != nil {
+		return n, unavailable(errors.Wrapf(err, "GET %s", path))
+	}
+	return n, nil
+}
+
+type pieceWriter func([]byte) error
+
+func (w pieceWriter) Write(piece []byte) (int, error) {
+	if w != nil {
+		if err := w(piece); err != nil {
+			return 0, err
+		}
+	}
+	return len(piece), nil
+}
