--- a/internal/fake/platform/instances.go
+++ b/internal/fake/platform/instances.go
@@ -13,11 +13,12 @@
 // registration is what the platform knows of an instance now.
 type registration struct {
 	instance wire.Instance
+	process  osProcess
 	seen     time.Time
 }
 
 func (p *Platform) handleRegister(w http.ResponseWriter, r *http.Request) {
-	var instance wire.Instance
+	var instance wire.Registration
 	if !fake.ReadJSON(w, r, &instance) {
 		return
 	}
@@ -33,7 +34,8 @@
 }
 
 // register refuses a process that was listed gone, since others rely on it.
-func (p *Platform) register(instance wire.Instance) bool {
+func (p *Platform) register(r wire.Registration) bool {
+	instance := r.Instance
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.LoseRegistrations {
@@ -47,7 +49,7 @@
 		}
 		instance.State = max(instance.State, known.instance.State)
 	}
-	p.instances[instance.Name] = &registration{instance: instance, seen: time.Now()}
+	p.instances[instance.Name] = &registration{instance: instance, process: findProcess(r.PID), seen: time.Now()}
 	p.record(time.Now())
 	return true
 }
@@ -61,10 +63,12 @@
 	p.record(time.Now())
 }
 
-// sweep marks those gone that no longer register.
+// sweep marks those gone whose process is gone, or who have been silent for
+// longer than the configuration allows.
 func (p *Platform) sweep(now time.Time) {
 	for _, known := range p.instances {
-		if now.Sub(known.seen) > p.config.GoneAfter {
+		silent := p.config.GoneAfter > 0 && now.Sub(known.seen) > p.config.GoneAfter
+		if silent || known.process.ended() {
 			known.instance.State = wire.Gone
 		}
 	}
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -18,13 +18,12 @@
 	MaxEntries       int           // kept in each stream; 0 keeps all
 	AppendsPerSecond float64       // over all streams; 0 is unlimited
 	ListLag          time.Duration // how old the instance list is
-	GoneAfter        time.Duration // an instance that has not registered for so long is gone; 0 counts as 5 s
+	GoneAfter        time.Duration // an instance that has not registered for so long is listed gone, even if it is only paused; 0 never
 	WeightBytes      int           // pretend size of a model's weights; 0 counts as 64 KiB
 	WeightRate       float64       // bytes a second over all readers; 0 is unlimited
 }
 
 const (
-	defaultGoneAfter   = 5 * time.Second
 	defaultWeightBytes = 64 << 10
 	weightPieceBytes   = 4 << 10
 )
@@ -50,9 +49,6 @@
 
 // New returns a stand-in that is not served yet.
 func New(config Config) *Platform {
-	if config.GoneAfter == 0 {
-		config.GoneAfter = defaultGoneAfter
-	}
 	if config.WeightBytes == 0 {
 		config.WeightBytes = defaultWeightBytes
 	}
--- a/internal/fake/worker/orders.go
+++ b/internal/fake/worker/orders.go
@@ -204,3 +204,19 @@
 	p.worker.counts.CutByPeer += p.unload()
 	p.report()
 }
+
+// Instance fills in what the platform's list tells of the process. It returns
+// false while there is none.
+func (w *Worker) Instance(instance platform.Instance) (platform.Instance, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.process == nil {
+		return instance, false
+	}
+	instance.Name, instance.Kind = w.config.Name, platform.Backend
+	instance.BootID = w.process.state.BootID
+	if w.faults.Leaving {
+		instance.State = platform.Leaving
+	}
+	return instance, true
+}
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,9 +20,11 @@
 	return list, err
 }
 
-// Register tells the platform about an instance, or that it still runs.
+// Register tells the platform about an instance of this process, that it still
+// runs, or, with the state Gone, that it has ended.
 func (c *Client) Register(ctx context.Context, instance Instance) error {
-	return c.callJSON(ctx, http.MethodPut, "/instances/"+url.PathEscape(instance.Name), instance, nil)
+	registration := Registration{Instance: instance, PID: os.Getpid()}
+	return c.callJSON(ctx, http.MethodPut, "/instances/"+url.PathEscape(instance.Name), registration, nil)
 }
 
 // KeepRegistered registers the instance at once and then at each interval until
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -38,6 +38,14 @@
 	BootID       string
 }
 
+// Registration is the body of PUT /instances/NAME. The stand-in of the platform
+// takes an instance for gone when its operating system process is gone, so
+// neither a pause nor a cut makes it say so.
+type Registration struct {
+	Instance
+	PID int // 0 when only a registration with the state Gone ends the instance
+}
+
 // InstanceList is the answer of GET /instances.
 type InstanceList struct {
 	AsOf      time.Time // the platform's clock when the list was true
