--- a/internal/fake/worker/process.go
+++ b/internal/fake/worker/process.go
@@ -96,10 +96,13 @@
 	return tokens
 }
 
-// admit takes a request in. It returns false when that made the process fall
-// over. The caller holds the lock.
+// admit takes a request in. It returns false when the process has ended, or when
+// the request made it fall over. The caller holds the lock.
 func (p *process) admit(j *job) bool {
 	w := p.worker
+	if p.ctx.Err() != nil {
+		return false
+	}
 	if old := p.jobs[j.id]; old != nil {
 		p.remove(old)
 	}
