entry: the whole path, thin, from a caller to a backend server

One entry instance: callers' API, operators' API, claims, limits, groups, forwarding between data centres, graceful shutdown; the command line; a deployment in one process and a load that checks every outcome.

--- /dev/null
+++ b/internal/backend/watcher.go
@@ -0,0 +1,255 @@
+package backend
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chicorystall/chicorystall/internal/replica"
+	"github.com/chicorystall/chicorystall/pkg/fleet"
+	"github.com/chicorystall/chicorystall/pkg/group"
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/member"
+)
+
+const (
+	// observers is how many entry instances ask one backend server.
+	observers = 2
+	// concurrentPolls bounds the polls that run at one time.
+	concurrentPolls = 16
+	// itemPrefix begins the keys of published observations.
+	itemPrefix = "server/"
+	// refreshRounds is the number of rounds after which an unchanged observation
+	// is published again, so that others know that it is fresh.
+	refreshRounds = 2
+	// loadChange is the part by which a load has to change to be published early.
+	loadChange = 0.25
+)
+
+// Options set up a Watcher.
+type Options struct {
+	Self     string
+	Interval time.Duration
+	Pool     *Pool
+	// Servers returns the model workers of the data centre.
+	Servers func() []fleet.BackendServer
+	// Rank returns this instance's place among those that may observe a backend
+	// server; 0 is the first.
+	Rank func(server string) int
+	// Placement returns the offset of the placement that was applied.
+	Placement func() journal.Offset
+	// Publish passes an observation on to the other entry instances.
+	Publish func(key string, value []byte)
+	// Members returns the other entry instances with what they published.
+	Members func() []member.Row
+	// Observed is told of each new observation.
+	Observed func(ctx context.Context, o Observation)
+}
+
+// Watcher keeps the newest observation of each model worker.
+type Watcher struct {
+	options Options
+	changed replica.Signal
+
+	mu        sync.Mutex
+	newest    map[string]Observation
+	published map[string]publication
+	versions  map[string]uint64 // of items taken from others, by observer and key
+}
+
+// publication is what was last published of a backend server.
+type publication struct {
+	observation Observation
+	round       uint32
+}
+
+// NewWatcher returns a watcher that knows nothing yet.
+func NewWatcher(options Options) *Watcher {
+	return &Watcher{
+		options:   options,
+		newest:    make(map[string]Observation),
+		published: make(map[string]publication),
+		versions:  make(map[string]uint64),
+	}
+}
+
+// Run asks backend servers and takes in what others publish, until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(w.options.Interval)
+	defer ticker.Stop()
+	for round := uint32(0); ; round++ {
+		w.merge(ctx)
+		w.poll(ctx, round)
+		w.changed.Notify()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Changed returns a channel that is closed after each round.
+func (w *Watcher) Changed() <-chan struct{} { return w.changed.Wait() }
+
+// Observations returns the newest observation of each backend server.
+func (w *Watcher) Observations() map[string]Observation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.newest)
+}
+
+// Reports returns the newest reports as package group takes them.
+func (w *Watcher) Reports() group.Reports {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reports := make(group.Reports, len(w.newest))
+	for name, o := range w.newest {
+		reports[name] = o.Report
+	}
+	return reports
+}
+
+// Note takes in what a backend server told on a request, before the next poll.
+func (w *Watcher) Note(server, bootID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o, known := w.newest[server]
+	if known && o.BootID != bootID {
+		o.BootID = bootID
+		o.Group, o.Epoch, o.Loading = "", 0, true
+		w.newest[server] = o
+	}
+}
+
+// merge takes in what the other entry instances published.
+func (w *Watcher) merge(ctx context.Context) {
+	now := time.Now()
+	for _, row := range w.options.Members() {
+		if row.Name == w.options.Self {
+			continue
+		}
+		for _, item := range row.Items {
+			server, ok := strings.CutPrefix(item.Key, itemPrefix)
+			if ok && w.isNew(row, item) {
+				w.take(ctx, server, row.Name, item.Value, now)
+			}
+		}
+	}
+}
+
+func (w *Watcher) isNew(row member.Row, item member.Item) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := row.Name + " " + item.Key
+	if w.versions[key] == item.Version {
+		return false
+	}
+	w.versions[key] = item.Version
+	return true
+}
+
+func (w *Watcher) take(ctx context.Context, server, observer string, value []byte, now time.Time) {
+	o, err := decodeObservation(server, observer, value, now)
+	if err != nil || o.Silent {
+		return
+	}
+	w.store(ctx, o)
+}
+
+// poll asks the backend servers that this instance observes.
+func (w *Watcher) poll(ctx context.Context, round uint32) {
+	servers := w.options.Servers()
+	w.forget(servers)
+	var polls errgroup.Group
+	polls.SetLimit(concurrentPolls)
+	for _, server := range servers {
+		if w.options.Rank(server.Name) >= observers {
+			continue
+		}
+		polls.Go(func() error {
+			w.ask(ctx, server, round)
+			return nil
+		})
+	}
+	_ = polls.Wait()
+}
+
+func (w *Watcher) ask(ctx context.Context, server fleet.BackendServer, round uint32) {
+	ctx, cancel := context.WithTimeout(ctx, max(w.options.Interval, minPollTimeout))
+	defer cancel()
+	placement := w.options.Placement()
+	state, err := w.options.Pool.Engine(server.Address).State(ctx)
+	if err != nil {
+		w.silent(server.Name)
+		return
+	}
+	o := observed(server.Name, w.options.Self, state, placement, time.Now())
+	w.store(ctx, o)
+	w.publish(o, round)
+}
+
+// minPollTimeout is the shortest time a backend server has to answer.
+const minPollTimeout = 500 * time.Millisecond
+
+func (w *Watcher) silent(server string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.newest[server]
+	o.Server, o.Silent = server, true
+	w.newest[server] = o
+}
+
+func (w *Watcher) store(ctx context.Context, o Observation) {
+	w.mu.Lock()
+	w.newest[o.Server] = o
+	w.mu.Unlock()
+	if w.options.Observed != nil {
+		w.options.Observed(ctx, o)
+	}
+}
+
+// publish passes an observation on when it says something new, or when the
+// others would think that it is old.
+func (w *Watcher) publish(o Observation, round uint32) {
+	w.mu.Lock()
+	last, known := w.published[o.Server]
+	due := !known || round-last.round >= refreshRounds || differs(last.observation, o)
+	if due {
+		w.published[o.Server] = publication{observation: o, round: round}
+	}
+	w.mu.Unlock()
+	if due {
+		w.options.Publish(itemPrefix+o.Server, o.encode(round))
+	}
+}
+
+func differs(a, b Observation) bool {
+	sameIdentity := a.BootID == b.BootID && a.Group == b.Group && a.Epoch == b.Epoch &&
+		a.Loading == b.Loading && a.Cold == b.Cold && a.Leaving == b.Leaving
+	if !sameIdentity {
+		return true
+	}
+	change := float64(a.InFlight-b.InFlight) / float64(max(a.InFlight, b.InFlight, 4))
+	return change > loadChange || change < -loadChange
+}
+
+// forget drops what is known of backend servers that the fleet no longer has.
+func (w *Watcher) forget(servers []fleet.BackendServer) {
+	known := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		known[server.Name] = true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.newest {
+		if !known[name] {
+			delete(w.newest, name)
+			delete(w.published, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/book.go
@@ -0,0 +1,276 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chicorystall/chicorystall/internal/replica"
+	"github.com/chicorystall/chicorystall/pkg/limit"
+)
+
+// lendersAsked is how many members one Acquire asks for a loan.
+const lendersAsked = 3
+
+// Call sends a message to a member and returns its answer.
+type Call func(ctx context.Context, to limit.Member, message []byte) ([]byte, error)
+
+// Book is the ledger of one entry instance with its messages.
+type Book struct {
+	call  Call
+	freed replica.Signal
+
+	mu      sync.Mutex
+	ledger  limit.Ledger
+	members []limit.Member  // of the table, without this one
+	asking  map[string]bool // backend servers for which a waiting loan is asked
+	fits    map[string]limit.Limit
+	own     map[string]limit.Amount // in flight of this instance
+}
+
+// NewBook returns the book of a member. Call carries its messages.
+func NewBook(self limit.Member, call Call) *Book {
+	return &Book{
+		call:   call,
+		ledger: limit.Ledger{Self: self},
+		asking: make(map[string]bool),
+		own:    make(map[string]limit.Amount),
+	}
+}
+
+// Freed returns a channel that is closed when a permit may be had that was
+// refused before.
+func (b *Book) Freed() <-chan struct{} { return b.freed.Wait() }
+
+// SetTable follows a new table of members. The gone ones certainly run no more.
+func (b *Book) SetTable(ctx context.Context, table limit.Table, gone []limit.Member) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
+		b.members = b.members[:0:0]
+		for _, member := range table.Members {
+			if member != l.Self {
+				b.members = append(b.members, member)
+			}
+		}
+		out := l.SetTable(table)
+		for _, member := range gone {
+			out = join(out, l.MarkGone(member))
+		}
+		return out
+	})
+}
+
+// SetLimits follows newly configured limits.
+func (b *Book) SetLimits(ctx context.Context, limits limit.Limits) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
+		b.fits = limits.Backends
+		return l.SetLimits(limits)
+	})
+}
+
+// Observe notes the boot ID that a backend server told, and whether it says that
+// it is warm.
+func (b *Book) Observe(ctx context.Context, backend, boot string, warm bool) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
+		if l.Boot(backend) != boot {
+			l.Observe(backend, boot)
+		}
+		if warm {
+			return l.MarkWarm(backend, boot)
+		}
+		return limit.Outbox{}
+	})
+}
+
+// MarkCold notes that a backend server turned cold without a new boot ID.
+func (b *Book) MarkCold(backend, boot string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.MarkCold(backend, boot)
+}
+
+// Boot returns the boot ID that permits of a backend server are for.
+func (b *Book) Boot(backend string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Boot(backend)
+}
+
+// Bears returns what the backend server bears now as far as this member knows,
+// over all members.
+func (b *Book) Bears(backend string) limit.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return limit.Amount{Requests: b.ledger.Level(backend), Tokens: b.fits[backend].Tokens}
+}
+
+// InFlight returns what this instance has in flight at the backend server.
+func (b *Book) InFlight(backend string) limit.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.own[backend]
+}
+
+// Settled reports whether only the newest table and limits bind here.
+func (b *Book) Settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Activated()
+}
+
+// TryAcquire takes a permit that needs no loan. After a refusal a loan is asked
+// for in the background, and Freed tells when it is worth another try.
+func (b *Book) TryAcquire(ctx context.Context, backend string, tokens int) (limit.Permit, bool) {
+	permit, refused := b.acquire(backend, tokens)
+	if refused == nil {
+		return permit, true
+	}
+	b.askLater(ctx, backend, refused)
+	return limit.Permit{}, false
+}
+
+// Acquire takes a permit, with a loan of other members when that is needed. It
+// does not wait for one to become free: then the error is a *limit.Refusal.
+func (b *Book) Acquire(ctx context.Context, backend string, tokens int) (limit.Permit, error) {
+	permit, refused := b.acquire(backend, tokens)
+	for i := 0; refused != nil; i++ {
+		if i >= min(lendersAsked, len(refused.Lenders)) || refused.Missing.IsZero() {
+			b.abandon(ctx, backend)
+			return limit.Permit{}, refused
+		}
+		if !b.borrow(ctx, backend, refused.Lenders[i], refused.Missing, false) {
+			continue
+		}
+		permit, refused = b.acquire(backend, tokens)
+	}
+	return permit, nil
+}
+
+// Release ends a permit. Completed says that the backend server answered whole.
+func (b *Book) Release(ctx context.Context, permit limit.Permit, completed bool) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
+		spent := limit.Amount{Requests: 1, Tokens: permit.Tokens}
+		b.own[permit.Backend] = b.own[permit.Backend].Minus(spent).Positive()
+		return l.Release(permit, completed)
+	})
+}
+
+func (b *Book) acquire(backend string, tokens int) (limit.Permit, *limit.Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	permit, err := b.ledger.Acquire(backend, tokens)
+	var refused *limit.Refusal
+	if errors.As(err, &refused) {
+		return limit.Permit{}, refused
+	}
+	b.own[backend] = b.own[backend].Plus(limit.Amount{Requests: 1, Tokens: tokens})
+	return permit, nil
+}
+
+func (b *Book) abandon(ctx context.Context, backend string) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Abandon(backend) })
+}
+
+// askLater asks the best lender for a loan, one at a time for a backend server.
+func (b *Book) askLater(ctx context.Context, backend string, refused *limit.Refusal) {
+	if refused.Missing.IsZero() || len(refused.Lenders) == 0 {
+		return
+	}
+	b.mu.Lock()
+	asked := b.asking[backend]
+	b.asking[backend] = true
+	b.mu.Unlock()
+	if asked {
+		return
+	}
+	go func() {
+		for i, lender := range refused.Lenders {
+			last := i == len(refused.Lenders)-1 || i == lendersAsked-1
+			if b.borrow(ctx, backend, lender, refused.Missing, last) || last {
+				break
+			}
+		}
+		b.mu.Lock()
+		delete(b.asking, backend)
+		b.mu.Unlock()
+	}()
+}
+
+// borrow asks one lender and reports whether a loan came that can be used. With
+// wait set the lender may reply later.
+func (b *Book) borrow(ctx context.Context, backend string, lender limit.Member, amount limit.Amount, wait bool) bool {
+	b.mu.Lock()
+	request := b.ledger.Borrow(backend, lender, amount, wait)
+	b.mu.Unlock()
+	answer, err := b.send(ctx, lender, message{Requests: []limit.LoanRequest{request}})
+	if err != nil {
+		b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.GiveUp(request.ID) })
+		return false
+	}
+	return b.accept(ctx, answer.Replies)
+}
+
+func (b *Book) accept(ctx context.Context, replies []limit.LoanReply) bool {
+	usable := false
+	for _, reply := range replies {
+		b.update(ctx, func(l *limit.Ledger) limit.Outbox {
+			accepted, out := l.Accept(reply)
+			usable = usable || accepted
+			return out
+		})
+	}
+	return usable
+}
+
+// update changes the ledger, wakes those who wait and sends what it gave rise to.
+func (b *Book) update(ctx context.Context, change func(*limit.Ledger) limit.Outbox) {
+	b.mu.Lock()
+	out := change(&b.ledger)
+	b.mu.Unlock()
+	b.freed.Notify()
+	b.deliver(ctx, out)
+}
+
+// deliver sends the messages of an outbox, each member's in one message. What
+// is lost is made good by the next statements.
+func (b *Book) deliver(ctx context.Context, out limit.Outbox) {
+	byMember := make(map[limit.Member]*message)
+	to := func(member limit.Member) *message {
+		if byMember[member] == nil {
+			byMember[member] = &message{}
+		}
+		return byMember[member]
+	}
+	for _, r := range out.Returns {
+		m := to(r.Lender)
+		m.Returns = append(m.Returns, r)
+	}
+	for _, reply := range out.Replies {
+		m := to(reply.ID.Borrower)
+		m.Replies = append(m.Replies, reply)
+	}
+	for member, m := range byMember {
+		go func() { _, _ = b.send(context.WithoutCancel(ctx), member, *m) }()
+	}
+}
+
+func (b *Book) send(ctx context.Context, to limit.Member, m message) (message, error) {
+	m.From = b.ledger.Self
+	data, err := json.Marshal(m)
+	if err != nil {
+		return message{}, err
+	}
+	answer, err := b.call(ctx, to, data)
+	if err != nil {
+		return message{}, err
+	}
+	return decode(answer)
+}
+
+func join(a, b limit.Outbox) limit.Outbox {
+	return limit.Outbox{
+		Returns: append(a.Returns, b.Returns...),
+		Replies: append(a.Replies, b.Replies...),
+	}
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chicorystall/chicorystall/internal/backend"
+	"github.com/chicorystall/chicorystall/internal/engine"
+	"github.com/chicorystall/chicorystall/internal/replica"
+	"github.com/chicorystall/chicorystall/pkg/group"
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/lease"
+	"github.com/chicorystall/chicorystall/pkg/placement"
+)
+
+const (
+	// groupsDuty is the duty of deciding over the groups of a data centre.
+	groupsDuty = "groups"
+	// leaseDuration is how long a silent holder keeps the duty.
+	leaseDuration = 6 * time.Second
+	// interval is the longest time between two decisions.
+	interval = 250 * time.Millisecond
+	// appendTimeout bounds one append, so that an outage of the log can't hold a
+	// decision for longer than the lease.
+	appendTimeout = 3 * time.Second
+	// orderTimeout bounds one order.
+	orderTimeout = 5 * time.Second
+)
+
+// Controller decides over groups while this entry instance holds the lease.
+type Controller struct {
+	Self      placement.Process
+	Placement *replica.Placement
+	Pool      *backend.Pool
+	// Input returns what a decision depends on, but for Now, Self, State and Sent.
+	Input func() group.Input
+	// Alive returns the names of the entry instances that may hold the lease.
+	Alive func() []string
+	Log   *logrus.Logger
+
+	once    sync.Once
+	holder  *lease.Holder
+	issuer  *group.Issuer
+	decider group.Controller
+	orders  sync.WaitGroup
+}
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		c.holder = &lease.Holder{Duty: groupsDuty, Self: c.Self, Duration: leaseDuration, NewID: uuid.NewString}
+		c.issuer = &group.Issuer{Self: c.Self, Send: c.send, NewID: uuid.NewString}
+		c.decider = group.Controller{NewID: uuid.NewString}
+	})
+}
+
+// Run decides until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.init()
+	defer c.orders.Wait()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		changed := c.Placement.Changed()
+		c.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// Held reports whether this instance decides over the groups now.
+func (c *Controller) Held() bool {
+	c.init()
+	_, held := c.holder.Held()
+	return held
+}
+
+// Release gives the lease back, so that another instance need not wait for it
+// to lapse.
+func (c *Controller) Release(ctx context.Context) {
+	c.init()
+	if record, due := c.holder.Step(c.Placement.State(), nil); due {
+		_ = c.append(ctx, record)
+	}
+}
+
+func (c *Controller) step(ctx context.Context) {
+	state := c.Placement.State()
+	for _, record := range c.issuer.Pending(state) {
+		_ = c.append(ctx, record)
+	}
+	if record, due := c.holder.Step(state, c.Alive()); due {
+		_ = c.append(ctx, record)
+		return
+	}
+	err := c.holder.Act(ctx, c.decide)
+	if err != nil && !errors.Is(err, lease.ErrLapsed) && ctx.Err() == nil {
+		c.Log.WithError(err).Warn("decision over groups is not recorded")
+	}
+}
+
+func (c *Controller) decide(ctx context.Context, _ journal.Offset) error {
+	input := c.Input()
+	input.Now = time.Now()
+	input.Self = c.Self
+	input.State = c.Placement.State()
+	input.Sent = c.issuer.Sent
+	decision := c.decider.Decide(input)
+	for _, note := range decision.Notes {
+		c.Log.WithFields(logrus.Fields{
+			"group":          note.Group,
+			"backend_server": note.Server,
+			"reason":         note.Message,
+			"offset":         input.State.Offset(),
+		}).Info("placement decision")
+	}
+	for _, order := range decision.Orders {
+		c.orders.Go(func() { c.issue(ctx, order) })
+	}
+	return c.appendAll(ctx, decision.Records)
+}
+
+func (c *Controller) appendAll(ctx context.Context, records []placement.Record) error {
+	for _, record := range records {
+		if err := c.append(ctx, record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Controller) append(ctx context.Context, record placement.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return c.Placement.Append(ctx, record)
+}
+
+func (c *Controller) issue(ctx context.Context, order group.Order) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	err := c.issuer.Issue(ctx, c.Placement.State(), order)
+	entry := c.Log.WithFields(logrus.Fields{
+		"group":          order.Group,
+		"backend_server": order.Server,
+		"epoch":          order.Epoch,
+		"fence":          order.Fence,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("order to load was not confirmed")
+		return
+	}
+	entry.Info("order to load was confirmed")
+}
+
+// send sends one order to an engine.
+func (c *Controller) send(ctx context.Context, order group.Order) error {
+	wire := engine.Order{
+		Fence:        int64(order.Fence),
+		Kind:         engine.Load,
+		OrderID:      uuid.NewString(),
+		Group:        order.Group,
+		Epoch:        int64(order.Epoch),
+		Model:        order.Model,
+		ModelVersion: order.ModelVersion,
+		Rank:         order.Rank,
+		Peers:        c.peersOf(order),
+	}
+	_, err := c.Pool.Engine(order.Address).Order(ctx, order.BootID, wire)
+	if errors.Is(err, engine.ErrNotSent) {
+		return errors.Mark(err, group.ErrNotSent)
+	}
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusConflict {
+		return errors.Mark(err, group.ErrNotSent)
+	}
+	return err
+}
+
+// peersOf returns the addresses of the group's other members.
+func (c *Controller) peersOf(order group.Order) []string {
+	addresses := make(map[string]string)
+	for _, server := range c.Input().Servers {
+		addresses[server.Name] = server.Address
+	}
+	var peers []string
+	for _, m := range order.Members {
+		if address, known := addresses[m.Name]; known && m.Name != order.Server {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/chicorystall/chicorystall/pkg/retry"
+)
+
+const (
+	// callerWriteTimeout is how long one write to a caller may make no progress.
+	callerWriteTimeout = 2 * time.Minute
+	// callerIdleTimeout closes a caller's connection on which no request arrives.
+	callerIdleTimeout = 2 * time.Minute
+)
+
+// callersHandler returns the callers' API and the balancer's checks.
+func (s *Server) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET /v1/models", s.authenticated(s.serveModels))
+	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.serveRequest))
+	mux.HandleFunc("POST /v1/completions", s.authenticated(s.serveRequest))
+	mux.HandleFunc("/services/{service}/{path...}", s.authenticated(s.serveRequest))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, notRun(http.StatusNotFound, "no-such-path", "path %q is not served", r.URL.Path))
+	})
+	return mux
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// accountHandler serves a request of a known client account.
+type accountHandler func(w http.ResponseWriter, r *http.Request, account string)
+
+// authenticated finds the client account by its bearer key.
+func (s *Server) authenticated(next accountHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		account, known := s.accountByKey(key)
+		if !found || !known {
+			refuse(w, notRun(http.StatusUnauthorized, "unknown-account", "the bearer key belongs to no client account"))
+			return
+		}
+		next(w, r, account)
+	}
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request, account string) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range s.modelsFor(account) {
+		list.Data = append(list.Data, modelItem{ID: model, Object: "model", OwnedBy: "chicorystall"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, account string) {
+	done, refused := s.admit()
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	defer done()
+
+	req, refused := s.readRequest(w, r, account)
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	ctx, stop := s.endWithDrain(ctx)
+	defer stop()
+	to := callerAnswer(w, req.ID)
+	s.serve(ctx, req, to)
+	if to.started && !to.ended {
+		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees the cut
+	}
+}
+
+// readRequest takes the request whole before anything is done for it.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, account string) (*request, *refusal) {
+	limits := s.settings.Limits
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limits.MaxBodyBytes)))
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+
+	req := &request{
+		ID:      r.Header.Get(headerRequestID),
+		Account: account,
+		Method:  r.Method,
+		Path:    r.URL.RequestURI(),
+		Header:  r.Header,
+		Body:    body,
+	}
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	if len(req.ID) > maxRequestIDBytes {
+		return nil, notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes)
+	}
+	return req, s.readLimits(req)
+}
+
+func bodyRefusal(err error) *refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return notRun(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	return notRun(http.StatusRequestTimeout, "body-not-received", "the body was not received whole in time")
+}
+
+// readLimits reads the attempt, the deadline and the priority.
+func (s *Server) readLimits(req *request) *refusal {
+	now := time.Now()
+	attempt, err := retry.ParseAttempt(req.Header, now)
+	if err != nil {
+		return badRequest("%v", err)
+	}
+	attempt = attempt.WithDeadline(now.Add(s.settings.Limits.RequestTimeout))
+	req.Attempt, req.Deadline = attempt.Number, attempt.Deadline
+	if text := req.Header.Get(headerPriority); text != "" {
+		priority, err := strconv.Atoi(text)
+		if err != nil || priority < 0 || priority > 1 {
+			return badRequest("%s %q is neither 0 (interactive) nor 1 (batch)", headerPriority, text)
+		}
+		req.Priority = priority
+	}
+	return nil
+}
+
+// callerAnswer writes an answer to an HTTP caller. A cut answer closes the
+// connection, so that a caller can always tell it from a whole one.
+func callerAnswer(w http.ResponseWriter, requestID string) *answer {
+	control := http.NewResponseController(w)
+	return &answer{
+		Head: func(status int, header http.Header) error {
+			for name, values := range header {
+				w.Header()[name] = values
+			}
+			w.Header().Set(headerRequestID, requestID)
+			w.WriteHeader(status)
+			return nil
+		},
+		Chunk: func(data []byte) error {
+			_ = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+			if _, err := w.Write(data); err != nil {
+				return err
+			}
+			return control.Flush()
+		},
+		End: func() error { return nil },
+	}
+}
+
+func refuse(w http.ResponseWriter, refused *refusal) {
+	id := w.Header().Get(headerRequestID)
+	_ = refused.send(callerAnswer(w, id))
+}
--- /dev/null
+++ b/internal/entry/loops.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
+	"github.com/chicorystall/chicorystall/internal/platform"
+	"github.com/chicorystall/chicorystall/pkg/limit"
+	"github.com/chicorystall/chicorystall/pkg/placement"
+)
+
+const (
+	// joinTimeout bounds one try to record that this instance takes part.
+	joinTimeout = 3 * time.Second
+	// joinRetry is the wait between two tries.
+	joinRetry = 500 * time.Millisecond
+)
+
+func newRecordID() string { return uuid.NewString() }
+
+// followTable joins the placement, and passes the entry instances that share the
+// limits on to the book.
+func (s *Server) followTable(ctx context.Context) error {
+	var last placement.Table
+	for {
+		changed := s.placement.Changed()
+		table, _ := s.placement.State().Table()
+		if table.Epoch != last.Epoch {
+			s.book.SetTable(ctx, shareTable(table), removed(last, table))
+			s.introduceTable(table)
+			last = table
+		}
+		s.join(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// join records that this instance takes part, as long as it does not yet.
+func (s *Server) join(ctx context.Context) {
+	if s.fleet.stopping.Load() || !s.placement.Status().Ready || s.placement.State().Member(s.process) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	before, _ := s.placement.State().Entry(s.process.Name)
+	err := s.placement.Append(ctx, placement.Record{
+		ID:       newRecordID(),
+		Presumes: before.Joined,
+		Writer:   s.process.Name,
+		Body:     placement.EntryJoin{Process: s.process, Address: s.settings.PeersAddress},
+	})
+	if err != nil {
+		s.log.WithError(err).Debug("joining the placement is not recorded yet")
+		return
+	}
+	s.awaitMember(ctx)
+}
+
+// awaitMember waits until the join was read back, so that it is not tried twice.
+func (s *Server) awaitMember(ctx context.Context) {
+	for !s.placement.State().Member(s.process) {
+		changed := s.placement.Changed()
+		if s.placement.State().Member(s.process) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func shareTable(table placement.Table) limit.Table {
+	out := limit.Table{Epoch: int64(table.Epoch)}
+	for _, entry := range table.Members {
+		out.Members = append(out.Members, limit.Member{Name: entry.Name, Boot: entry.BootID})
+	}
+	return out
+}
+
+// removed returns the members of a table that a later one no longer has. A record
+// that removes a member is written only when its process has ended.
+func removed(before, after placement.Table) []limit.Member {
+	kept := make(map[placement.Process]bool)
+	for _, entry := range after.Members {
+		kept[entry.Process] = true
+	}
+	var gone []limit.Member
+	for _, entry := range before.Members {
+		if !kept[entry.Process] {
+			gone = append(gone, limit.Member{Name: entry.Name, Boot: entry.BootID})
+		}
+	}
+	return gone
+}
+
+// introduceTable tells the membership of the table's entry instances.
+func (s *Server) introduceTable(table placement.Table) {
+	for _, entry := range table.Members {
+		if entry.Name == s.process.Name {
+			continue
+		}
+		s.members.Add(&peerpb.Instance{
+			Name:       entry.Name,
+			DataCentre: s.settings.DataCentre,
+			Address:    entry.Address,
+			Boot:       1,
+			BootId:     entry.BootID,
+		})
+	}
+}
+
+// followConfig passes the limits of a new configuration on to the book.
+func (s *Server) followConfig(ctx context.Context) error {
+	for {
+		changed := s.config.Changed()
+		state := s.config.State()
+		limits := limit.Limits{Version: int64(state.Offset()), Backends: make(map[string]limit.Limit)}
+		addresses := make(map[string]bool)
+		for _, server := range state.Config().BackendServers {
+			if server.DataCentre != s.settings.DataCentre {
+				continue
+			}
+			limits.Backends[server.Name] = limit.Limit{
+				InFlight:     server.MaxInFlight,
+				Tokens:       server.MaxTokens,
+				ColdInFlight: server.ColdInFlight,
+			}
+			addresses[server.Address] = true
+		}
+		if len(limits.Backends) > 0 {
+			s.book.SetLimits(ctx, limits)
+			s.pool.Keep(addresses)
+			s.openServices(ctx)
+		}
+		s.forgetPicture()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// openServices makes the limits of plain services' workers hold in full: they
+// tell no boot ID and have no cold start.
+func (s *Server) openServices(ctx context.Context) {
+	for _, server := range s.config.State().Config().BackendServers {
+		if server.DataCentre == s.settings.DataCentre && server.Service != "" {
+			s.book.Observe(ctx, server.Name, serviceBoot, true)
+		}
+	}
+}
+
+// followPlatform keeps this instance in the platform's list, and takes in the
+// list. It lags, so that only its word that an instance is gone counts.
+func (s *Server) followPlatform(ctx context.Context) error {
+	ticker := time.NewTicker(s.settings.Heartbeat.Platform)
+	defer ticker.Stop()
+	for {
+		if err := s.platform.Register(ctx, s.registration()); err != nil {
+			s.log.WithError(err).Debug("platform did not take the registration")
+		}
+		if list, err := s.platform.Instances(ctx); err == nil {
+			s.takeList(list)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) registration() platform.Instance {
+	state := platform.Live
+	if s.fleet.stopping.Load() {
+		state = platform.Leaving
+	}
+	return platform.Instance{
+		Name:       s.settings.Name,
+		Kind:       platform.Entry,
+		Address:    s.settings.PeersAddress,
+		DataCentre: s.settings.DataCentre,
+		State:      state,
+		BootID:     s.process.BootID,
+	}
+}
+
+func (s *Server) takeList(list platform.InstanceList) {
+	leaving := make(map[string]bool)
+	gone := make(map[string]bool)
+	var ended []placement.Process
+	for _, instance := range list.Instances {
+		switch {
+		case instance.Kind == platform.Backend:
+			leaving[instance.Name] = instance.State == platform.Leaving
+			gone[instance.Name] = instance.State == platform.Gone
+		case instance.State == platform.Gone:
+			ended = append(ended, placement.Process{Name: instance.Name, BootID: instance.BootID})
+			s.members.RemoveRun(instance.Name, instance.BootID)
+		case instance.Name != s.settings.Name:
+			s.members.Add(&peerpb.Instance{
+				Name:       instance.Name,
+				DataCentre: instance.DataCentre,
+				Address:    instance.Address,
+				Boot:       1,
+				BootId:     instance.BootID,
+			})
+		}
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.leaving, s.fleet.gone, s.fleet.ended = leaving, gone, ended
+}
--- /dev/null
+++ b/internal/entry/prompt.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/chicorystall/chicorystall/pkg/route"
+)
+
+const (
+	// bytesPerToken is the estimate of prompt bytes that make a token.
+	bytesPerToken = 4
+	// defaultOutputTokens is the estimate for a request that names no limit.
+	defaultOutputTokens = 256
+	// prefixBlockBytes is the size of the blocks in which prompts are compared.
+	prefixBlockBytes = 64
+	// maxPrefixBlocks bounds the blocks of a prompt that are compared.
+	maxPrefixBlocks = 256
+)
+
+// modelRequest is what the system needs to know of a request to a model.
+type modelRequest struct {
+	Model        string
+	Stream       bool
+	PromptTokens int
+	OutputTokens int
+	Blocks       []uint64
+}
+
+// modelBody holds the fields of the callers' JSON that the system heeds.
+type modelBody struct {
+	Model               *string         `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+// parseModelRequest reads the callers' JSON and checks it against the limits.
+func parseModelRequest(path string, body []byte, limits Limits) (*modelRequest, *refusal) {
+	var fields modelBody
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, badRequest("the body is no JSON object of this API: %v", err)
+	}
+	if fields.Model == nil || *fields.Model == "" {
+		return nil, badRequest("field %q is missing", "model")
+	}
+	prompt, field := fields.Messages, "messages"
+	if !strings.HasPrefix(path, "/v1/chat/") {
+		prompt, field = fields.Prompt, "prompt"
+	}
+	if len(prompt) == 0 || string(prompt) == "null" {
+		return nil, badRequest("field %q is missing", field)
+	}
+	out := &modelRequest{
+		Model:        *fields.Model,
+		Stream:       fields.Stream,
+		PromptTokens: len(prompt)/bytesPerToken + 1,
+		OutputTokens: min(defaultOutputTokens, limits.MaxOutputTokens),
+	}
+	if refused := out.readOutputTokens(fields, limits); refused != nil {
+		return nil, refused
+	}
+	if out.PromptTokens > limits.MaxPromptTokens {
+		return nil, badRequest("field %q holds about %d tokens, above the limit of %d", field, out.PromptTokens, limits.MaxPromptTokens)
+	}
+	compared := prompt[:min(len(prompt), maxPrefixBlocks*prefixBlockBytes)]
+	out.Blocks = route.Blocks(nil, compared, prefixBlockBytes)
+	return out, nil
+}
+
+func (m *modelRequest) readOutputTokens(fields modelBody, limits Limits) *refusal {
+	wanted, field := fields.MaxTokens, "max_tokens"
+	if wanted == nil {
+		wanted, field = fields.MaxCompletionTokens, "max_completion_tokens"
+	}
+	if wanted == nil {
+		return nil
+	}
+	if *wanted <= 0 || *wanted > limits.MaxOutputTokens {
+		return badRequest("field %q is %d, want 1 to %d", field, *wanted, limits.MaxOutputTokens)
+	}
+	m.OutputTokens = *wanted
+	return nil
+}
+
+func badRequest(detail string, args ...any) *refusal {
+	return notRun(http.StatusBadRequest, "bad-request", detail, args...)
+}
--- /dev/null
+++ b/internal/entry/tls.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// certificateRecheck is how often the files of a certificate are looked at.
+const certificateRecheck = 10 * time.Second
+
+// certificateFiles reads a certificate again when its files change, so that keys
+// can be replaced without a restart.
+type certificateFiles struct {
+	TLSFiles
+
+	mu       sync.Mutex
+	checked  time.Time
+	modified time.Time
+	current  *tls.Certificate
+	pool     *x509.CertPool
+}
+
+// load returns the certificate and the authorities now in the files. When the
+// files can't be read, it keeps what was read last.
+func (c *certificateFiles) load(now time.Time) (*tls.Certificate, *x509.CertPool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil && now.Sub(c.checked) < certificateRecheck {
+		return c.current, c.pool, nil
+	}
+	c.checked = now
+	err := c.reload()
+	if c.current == nil {
+		return nil, nil, err
+	}
+	return c.current, c.pool, nil
+}
+
+func (c *certificateFiles) reload() error {
+	modified, err := newestModification(c.CertificateFile, c.KeyFile, c.AuthorityFile)
+	if err != nil {
+		return err
+	}
+	if c.current != nil && modified.Equal(c.modified) {
+		return nil
+	}
+	certificate, err := tls.LoadX509KeyPair(c.CertificateFile, c.KeyFile)
+	if err != nil {
+		return errors.Wrapf(err, "load certificate %q", c.CertificateFile)
+	}
+	pool, err := readAuthorities(c.AuthorityFile)
+	if err != nil {
+		return err
+	}
+	c.current, c.pool, c.modified = &certificate, pool, modified
+	return nil
+}
+
+func newestModification(files ...string) (time.Time, error) {
+	var newest time.Time
+	for _, file := range files {
+		if file == "" {
+			continue
+		}
+		info, err := os.Stat(file)
+		if err != nil {
+			return time.Time{}, errors.Wrap(err, "look at certificate file")
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
+
+func readAuthorities(file string) (*x509.CertPool, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.Newf("file %q holds no PEM certificate", file)
+	}
+	return pool, nil
+}
+
+// serverTLS returns the settings of a listener, nil when TLS is off. With mutual
+// set, the other side must show a certificate of the authorities.
+func (c *certificateFiles) serverTLS(mutual bool) *tls.Config {
+	if c.CertificateFile == "" {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			certificate, pool, err := c.load(time.Now())
+			if err != nil {
+				return nil, err
+			}
+			config := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*certificate}}
+			if mutual {
+				config.ClientAuth = tls.RequireAndVerifyClientCert
+				config.ClientCAs = pool
+			}
+			return config, nil
+		},
+	}
+}
+
+// clientTLS returns the settings for calls to other entry instances, nil when
+// TLS is off. Addresses are IP numbers, so the chain is checked and the name is not.
+func (c *certificateFiles) clientTLS() *tls.Config {
+	if c.CertificateFile == "" {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _, err := c.load(time.Now())
+			return certificate, err
+		},
+		VerifyConnection: c.verifyPeer,
+	}
+}
+
+func (c *certificateFiles) verifyPeer(state tls.ConnectionState) error {
+	_, pool, err := c.load(time.Now())
+	if err != nil {
+		return err
+	}
+	options := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool()}
+	for _, certificate := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(certificate)
+	}
+	_, err = state.PeerCertificates[0].Verify(options)
+	return err
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -55,6 +55,18 @@
 	c.pools = nil
 }
 
+// Hello introduces this instance to the one at address, and returns the
+// instances known there.
+func (c *Client) Hello(ctx context.Context, address string, self *peerpb.Instance) ([]*peerpb.Instance, error) {
+	var instances []*peerpb.Instance
+	err := c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) error {
+		list, err := peer.Hello(ctx, self)
+		instances = list.GetInstances()
+		return err
+	})
+	return instances, err
+}
+
 // Exchange sends one heartbeat message and returns the messages in answer.
 func (c *Client) Exchange(ctx context.Context, address string, message []byte) ([][]byte, error) {
 	var answers [][]byte
@@ -68,11 +80,11 @@
 	return answers, err
 }
 
-// Borrow asks the instance at address for parts of its shares.
-func (c *Client) Borrow(ctx context.Context, address string, message []byte) ([]byte, error) {
+// Limits sends a message about limits on backend servers and returns its answer.
+func (c *Client) Limits(ctx context.Context, address string, message []byte) ([]byte, error) {
 	var body []byte
 	err := c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) error {
-		answer, err := peer.Borrow(ctx, &peerpb.Envelope{Sender: c.Sender, Body: message})
+		answer, err := peer.Limits(ctx, &peerpb.Envelope{Sender: c.Sender, Body: message})
 		body = answer.GetBody()
 		return err
 	})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,12 +29,14 @@
 // Handler answers the calls of other entry instances. A nil field refuses its
 // call.
 type Handler struct {
+	// Hello takes note of the caller and returns the instances known here.
+	Hello func(ctx context.Context, caller *peerpb.Instance) ([]*peerpb.Instance, error)
 	// Exchange takes one heartbeat message and returns the messages in answer.
 	Exchange func(ctx context.Context, sender string, message []byte) ([][]byte, error)
 	// Forward runs a request here and sends the answer in chunks.
 	Forward func(ctx context.Context, request *peerpb.ForwardRequest, send func(*peerpb.ForwardChunk) error) error
-	// Borrow answers a request for parts of shares of backend servers.
-	Borrow func(ctx context.Context, sender string, message []byte) ([]byte, error)
+	// Limits answers a message about limits on backend servers.
+	Limits func(ctx context.Context, sender string, message []byte) ([]byte, error)
 	// FetchState returns the newest state of a stream and its offset.
 	FetchState func(ctx context.Context, stream string, after int64) (offset int64, snapshot []byte, err error)
 	// AskClaim returns what is known here of a claimed key.
@@ -72,6 +74,14 @@
 	handler Handler
 }
 
+func (s *service) Hello(ctx context.Context, in *peerpb.Instance) (*peerpb.InstanceList, error) {
+	if s.handler.Hello == nil {
+		return nil, errNotServed
+	}
+	instances, err := s.handler.Hello(ctx, in)
+	return &peerpb.InstanceList{Instances: instances}, err
+}
+
 func (s *service) Exchange(ctx context.Context, in *peerpb.Envelope) (*peerpb.EnvelopeList, error) {
 	if s.handler.Exchange == nil {
 		return nil, errNotServed
@@ -94,8 +104,8 @@
 	return s.handler.Forward(stream.Context(), in, stream.Send)
 }
 
-func (s *service) Borrow(ctx context.Context, in *peerpb.Envelope) (*peerpb.Envelope, error) {
-	return answerEnvelope(ctx, in, s.handler.Borrow)
+func (s *service) Limits(ctx context.Context, in *peerpb.Envelope) (*peerpb.Envelope, error) {
+	return answerEnvelope(ctx, in, s.handler.Limits)
 }
 
 func (s *service) AskClaim(ctx context.Context, in *peerpb.Envelope) (*peerpb.Envelope, error) {
--- a/pkg/queue/gate.go
+++ b/pkg/queue/gate.go
@@ -19,7 +19,13 @@
 	queue  Queue
 	nextID uint64
 	closed bool
-	calls  map[uint64]chan error
+	calls  map[uint64]*call
+}
+
+// call is a caller that waits.
+type call struct {
+	done chan error
+	take func() bool // takes the place, instead of the gate's Try
 }
 
 func (g *Gate) now() time.Time {
@@ -32,10 +38,18 @@
 // Wait returns nil once Try has taken a place for the entry, a *Refusal, or the
 // context's error. The entry's ID is set by the gate.
 func (g *Gate) Wait(ctx context.Context, e Entry) error {
+	return g.WaitFor(ctx, e, nil)
+}
+
+// WaitFor is like Wait with a function of the caller's own that takes the place
+// when the entry is the first. It runs under the gate's lock and must not call
+// the gate. When it has taken a place and ctx ends at the same time, WaitFor
+// returns nil.
+func (g *Gate) WaitFor(ctx context.Context, e Entry, take func() bool) error {
 	if deadline, ok := ctx.Deadline(); ok && e.Deadline.IsZero() {
 		e.Deadline = deadline
 	}
-	id, done, err := g.enter(e)
+	id, done, err := g.enter(e, take)
 	if err != nil {
 		return err
 	}
@@ -57,7 +71,7 @@
 	return ctx.Err()
 }
 
-func (g *Gate) enter(e Entry) (uint64, chan error, error) {
+func (g *Gate) enter(e Entry, take func() bool) (uint64, chan error, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
@@ -71,10 +85,10 @@
 		return 0, nil, err
 	}
 	if g.calls == nil {
-		g.calls = make(map[uint64]chan error)
+		g.calls = make(map[uint64]*call)
 	}
 	done := make(chan error, 1)
-	g.calls[e.ID] = done
+	g.calls[e.ID] = &call{done: done, take: take}
 	g.refuse(displaced, ReasonDisplaced)
 	g.pump()
 	return e.ID, done, nil
@@ -88,8 +102,8 @@
 }
 
 func (g *Gate) finish(id uint64, err error) {
-	if done, ok := g.calls[id]; ok {
-		done <- err
+	if waiting, ok := g.calls[id]; ok {
+		waiting.done <- err
 		delete(g.calls, id)
 	}
 }
@@ -101,11 +115,18 @@
 	g.pump()
 }
 
+func (g *Gate) try(e Entry) bool {
+	if waiting := g.calls[e.ID]; waiting != nil && waiting.take != nil {
+		return waiting.take()
+	}
+	return g.Try(e)
+}
+
 func (g *Gate) pump() {
 	g.refuse(g.queue.Expire(g.now()), ReasonDeadline)
 	for {
 		e, ok := g.queue.Peek()
-		if !ok || !g.Try(e) {
+		if !ok || !g.try(e) {
 			return
 		}
 		g.queue.Pop()
