--- /dev/null
+++ b/internal/measure/slowreaders_test.go
@@ -0,0 +1,19 @@
+package measure
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestSlowReadersStayWithinTheBound(t *testing.T) {
+	g := NewWithT(t)
+	table := SlowReaders(1)
+	logTable(t, table)
+	for _, row := range table.Rows {
+		g.Expect(row[3]).To(Equal("1100/1100"), "whole answers, %s", row[0])
+		if row[1] != "none" {
+			g.Expect(cell(t, table, "peak MiB", row[0], row[1])).To(BeNumerically("<=", cell(t, table, "bound MiB", row[0], row[1])))
+		}
+	}
+}
--- a/pkg/stream/buffer.go
+++ b/pkg/stream/buffer.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// Advise returns what the producer should do now, without waiting. Cancel is
+// said once.
+func (b *Buffer) Advise() Advice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue.advise(b.now())
+}
+
 // untilPause returns the time until Cancel is due, or 0 if it is not to come.
 func (b *Buffer) untilPause() time.Duration {
 	if b.queue.flow != full {
