--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -145,3 +145,28 @@
 	_, err = readText(s)
 	g.Expect(err).To(MatchError(context.Canceled))
 }
+
+// streamWithResume reads a stream to its end and resumes it a few times. The
+// error of a resume says nothing about the first sending, so that it comes back
+// as one that may have been sent.
+func streamWithResume(ctx context.Context, c *engine.Client, r engine.Request) (string, error) {
+	s, err := c.Stream(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	text, err := readText(s)
+	for range 3 {
+		if err == nil {
+			return text, nil
+		}
+		resumed, resumeErr := c.Resume(ctx, r, s.NextNumber())
+		if resumeErr != nil {
+			continue
+		}
+		s = resumed
+		var rest string
+		rest, err = readText(s)
+		text += rest
+	}
+	return text, err
+}
