engine, fake: many streams at once, cheaper look at processes

TestConcurrentStreams has 60 streams share the client and each gets its own text. The platform stand-in read /proc for every instance at every call; it now looks at most every 50 ms. A stand-in whose port is taken after a crash tries on instead of staying down. What follows a whole answer no longer makes the client drop its idle connections.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -81,6 +81,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+
+	draining bool // the answer is whole; what follows tells nothing
 }
 
 func (b *idleBody) Read(p []byte) (int, error) {
@@ -91,7 +93,9 @@
 		if c := context.Cause(b.ctx); c != nil {
 			err = c
 		}
-		b.sender.distrust(err)
+		if !b.draining {
+			b.sender.distrust(err)
+		}
 	}
 	return n, err
 }
@@ -109,7 +113,7 @@
 		maxBytes = 512
 		patience = 50 * time.Millisecond
 	)
-	b.sender.idle = patience
+	b.sender.idle, b.draining = patience, true
 	io.CopyN(io.Discard, b, maxBytes)
 }
 
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorystall/chicorystall/internal/engine"
 	"github.com/chicorystall/chicorystall/internal/fake/worker"
@@ -133,6 +134,29 @@
 	}
 }
 
+// TestConcurrentStreams checks that each stream gets its own text.
+func TestConcurrentStreams(t *testing.T) {
+	w := startWorker(t, worker.Config{})
+	c := newClient(t, w.Address())
+	group, ctx := errgroup.WithContext(t.Context())
+	for i := range 60 {
+		group.Go(func() error {
+			own := fmt.Sprint("motto ", i)
+			body := fmt.Sprintf(`{"prompt":%q,"max_tokens":%d,"stream":true}`, own, maxTokens)
+			s, err := c.Stream(ctx, engine.Request{ID: own, Path: engine.CompletionPath, Body: []byte(body)})
+			if err != nil {
+				return err
+			}
+			text, err := readText(s)
+			if err == nil && text != strings.Join(worker.Answer(own, maxTokens), "") {
+				err = fmt.Errorf("stream %d got %q", i, text)
+			}
+			return err
+		})
+	}
+	NewWithT(t).Expect(group.Wait()).To(Succeed())
+}
+
 func TestCancelledContextEndsStream(t *testing.T) {
 	g := NewWithT(t)
 	w := startWorker(t, worker.Config{})
--- a/internal/fake/desk/fault.go
+++ b/internal/fake/desk/fault.go
@@ -64,8 +64,8 @@
 	d.bootID = uuid.NewString()
 	server := d.server
 	d.mu.Unlock()
-	if server != nil {
-		server.Up()
+	for server != nil && server.Up() != nil {
+		// Another socket has the port for the moment.
 	}
 }
 
--- a/internal/fake/platform/fault.go
+++ b/internal/fake/platform/fault.go
@@ -71,7 +71,9 @@
 	server := p.server
 	p.wake()
 	p.mu.Unlock()
-	server.Up()
+	for server.Up() != nil {
+		// Another socket has the port for the moment.
+	}
 }
 
 // faulty applies the faults that every call is subject to.
--- a/internal/fake/platform/instances.go
+++ b/internal/fake/platform/instances.go
@@ -63,9 +63,16 @@
 	p.record(time.Now())
 }
 
+// sweepInterval is the shortest time between two looks at the processes.
+const sweepInterval = 50 * time.Millisecond
+
 // sweep marks those gone whose process is gone, or who have been silent for
 // longer than the configuration allows.
 func (p *Platform) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
 	for _, known := range p.instances {
 		silent := p.config.GoneAfter > 0 && now.Sub(known.seen) > p.config.GoneAfter
 		if silent || known.process.ended() {
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -43,6 +43,7 @@
 	streams   map[string]*stream
 	instances map[string]*registration
 	listed    fake.Lagged[[]wire.Instance]
+	swept     time.Time
 	injected  int // calls of Inject
 	loads     int
 }
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -134,8 +134,8 @@
 	}
 	w.process = w.newProcess(false)
 	w.mu.Unlock()
-	if server != nil {
-		server.Up()
+	for server != nil && server.Up() != nil {
+		// Another socket has the port for the moment.
 	}
 }
 
