--- a/pkg/limit/loan.go
+++ b/pkg/limit/loan.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return Outbox{}
 	}
-	return l.returnIdle(l.account(loan.key))
+	return l.returnIdle(l.account(loan.key), 0)
 }
 
 // loansFor returns the account's loans of lenders that have settled into the
@@ -108,14 +108,15 @@
 	return a.share.Minus(l.ownUse(a)).Minus(l.countedLent(a)).Positive()
 }
 
-// returnIdle returns the loans that the requests in flight do not need.
-func (l *Ledger) returnIdle(a *account) Outbox {
+// returnIdle returns the loans, of at least the age, that the requests in flight
+// do not need.
+func (l *Ledger) returnIdle(a *account, minAge int) Outbox {
 	var out Outbox
 	for _, id := range l.heldFor(a) {
-		if l.needs(a, id) {
+		loan := l.held[id]
+		if loan.age < minAge || l.needs(a, id) {
 			continue
 		}
-		loan := l.held[id]
 		a.borrowed = a.borrowed.Minus(loan.amount)
 		delete(l.held, id)
 		out.Returns = append(out.Returns, Return{Lender: loan.lender, Loans: []LoanID{id}})
@@ -168,7 +169,7 @@
 	if !queued && a.ticket == 0 && len(a.waiting) == 0 {
 		reply.Granted = l.lendTo(a, r, r.Amount.Min(l.lendable(a)))
 	}
-	if !reply.Granted.IsZero() || !r.Wait {
+	if !reply.Granted.IsZero() || !r.Wait || !r.Amount.FitsIn(a.share) {
 		return reply
 	}
 	reply.Waiting = true
@@ -189,7 +190,8 @@
 }
 
 // serveWaiting grants what has become free in the order of arrival. It stops at
-// the place of the member's own requests.
+// the place of the member's own requests, and refuses what the share no longer
+// holds.
 func (l *Ledger) serveWaiting(a *account) Outbox {
 	var out Outbox
 	for len(a.waiting) > 0 {
@@ -198,11 +200,15 @@
 			break
 		}
 		r := first.request
-		if !r.Amount.FitsIn(l.lendable(a)) {
+		never := !r.Amount.FitsIn(a.share)
+		if !never && !r.Amount.FitsIn(l.lendable(a)) {
 			break
 		}
 		a.waiting = a.waiting[1:]
-		granted := l.lendTo(a, r, r.Amount)
+		var granted Amount
+		if !never {
+			granted = l.lendTo(a, r, r.Amount)
+		}
 		out.Replies = append(out.Replies, LoanReply{ID: r.ID, Lender: l.Self, Granted: granted, Settled: l.own})
 	}
 	return out
