--- a/pkg/journal/catchup.go
+++ b/pkg/journal/catchup.go
@@ -52,6 +52,7 @@
 // newest snapshot of the log, else with the newest state of the peers, which
 // is then written back. Lost entries are skipped only when no one has them.
 func (f *Follower) catchUp(ctx context.Context, page Page) error {
+	f.noteEnd(page.Next - 1)
 	found, err := f.restoreNewest(ctx, page.First, page.Next)
 	if err != nil {
 		return f.away(ctx, err)
@@ -74,6 +75,13 @@
 	return f.skip(page.First-1, err == nil && peer.Complete)
 }
 
+// noteEnd keeps the newest offset known to exist.
+func (f *Follower) noteEnd(end Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status.End = max(f.status.End, end)
+}
+
 // skip moves the state over lost entries, when nobody can have their state.
 func (f *Follower) skip(to Offset, complete bool) error {
 	complete = complete || f.disabled&guardComplete != 0
--- a/pkg/journal/defaults.go
+++ b/pkg/journal/defaults.go
@@ -38,18 +38,22 @@
 // backoff makes pauses that double up to a maximum, with jitter.
 type backoff struct {
 	min, max time.Duration
-	jitter   func() float64 // in [0,1), nil stands for math/rand
+	jitter   func() float64 // nil stands for math/rand
 	last     time.Duration
 }
 
 // next returns the next pause: half of it fixed, half random.
 func (b *backoff) next() time.Duration {
 	b.last = min(max(2*b.last, b.min), b.max)
-	random := rand.Float64
-	if b.jitter != nil {
-		random = b.jitter
+	return b.last/2 + time.Duration(random(b.jitter)*float64(b.last/2))
+}
+
+// random returns a number in [0,1).
+func random(jitter func() float64) float64 {
+	if jitter == nil {
+		return rand.Float64()
 	}
-	return b.last/2 + time.Duration(random()*float64(b.last/2))
+	return jitter()
 }
 
 // sleep waits for the span. It returns early with the context's error.
--- a/pkg/journal/follower.go
+++ b/pkg/journal/follower.go
@@ -56,8 +56,9 @@
 	// peers.
 	PeerState func(ctx context.Context, above Offset) (PeerState, error)
 	// Due reports whether this instance writes the next snapshot, given the age
-	// of the newest one and the number of entries since. Nil stands for an age
-	// above a quarter of Retention or snapshotEntries entries.
+	// of the newest one and the number of entries since. Nil stands for 4096
+	// entries, or an age between a quarter and half of Retention that differs
+	// from instance to instance, so that mostly one of them writes.
 	Due func(age time.Duration, entries int) bool
 
 	Retention time.Duration    // how long the log keeps entries, 0 for always
@@ -73,6 +74,7 @@
 	peerEnd   time.Time // when a peer at the log's end last handed its entries over
 	newest    time.Time // log's time of the newest valid snapshot, or of the first entry
 	entries   int       // folded since the newest valid snapshot
+	spread    float64   // in [0,1), share by which this instance waits longer
 	tried     time.Time // when this instance last tried to write a snapshot
 	writeBack bool      // the log has no usable snapshot, so write one whoever is due
 	skipLost  bool      // an operator said that nobody holds the lost entries' state
--- /dev/null
+++ b/pkg/journal/follower_test.go
@@ -0,0 +1,186 @@
+package journal_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/journal/journaltest"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// appendChanges appends changes to the stream.
+func appendChanges(g Gomega, log *journaltest.Log, n int) {
+	for range n {
+		_, err := log.Client().Append(context.Background(), stream, record(kindChange, 0, nil))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// follow takes steps until the follower is at the log's end.
+func follow(g Gomega, r *replica) {
+	for range 20 {
+		if err := r.Step(context.Background()); err == nil && !r.Status().Behind {
+			return
+		}
+	}
+	g.Expect(r.Status().Behind).To(BeFalse(), "%+v", r.Status())
+}
+
+func TestFollowerReadiness(t *testing.T) {
+	t.Run("empty stream", func(t *testing.T) {
+		g := NewWithT(t)
+		var log journaltest.Log
+		r := newReplica(&log)
+		g.Expect(r.Status().Ready).To(BeFalse())
+		follow(g, r)
+		g.Expect(r.Status().Ready).To(BeTrue())
+	})
+	t.Run("log away and no peer", func(t *testing.T) {
+		g := NewWithT(t)
+		var log journaltest.Log
+		log.SetAway(true)
+		r := newReplica(&log)
+		g.Expect(r.Step(t.Context())).NotTo(Succeed())
+		g.Expect(r.Status().Ready).To(BeFalse())
+	})
+	t.Run("log away and a peer", func(t *testing.T) {
+		g := NewWithT(t)
+		var log journaltest.Log
+		appendChanges(g, &log, 3)
+		peer := newReplica(&log)
+		follow(g, peer)
+		log.SetAway(true)
+		r := newReplica(&log)
+		r.PeerState = handing(func() ([]*replica, bool) { return []*replica{peer}, true })
+		g.Expect(r.Step(t.Context())).NotTo(Succeed())
+		status := r.Status()
+		g.Expect(status.Ready).To(BeTrue())
+		g.Expect(status.Behind).To(BeTrue())
+		g.Expect(status.Source).To(Equal(journal.SourcePeer))
+		g.Expect(r.changes).To(Equal(peer.changes))
+	})
+}
+
+// TestReplacedDuringOutage replaces every instance while the log is away for
+// longer than its retention, and then brings the log back empty.
+func TestReplacedDuringOutage(t *testing.T) {
+	g := NewWithT(t)
+	var log journaltest.Log
+	appendChanges(g, &log, 5)
+	old := newReplica(&log)
+	follow(g, old)
+	log.SetAway(true)
+	for range 3 {
+		from := old
+		old = newReplica(&log)
+		old.PeerState = handing(func() ([]*replica, bool) { return []*replica{from}, true })
+		g.Expect(old.Step(t.Context())).NotTo(Succeed())
+	}
+	log.Expire(stream, 5)
+	log.SetAway(false)
+	appendChanges(g, &log, 1)
+	log.Expire(stream, 5)
+	follow(g, old)
+	fresh := newReplica(&log)
+	g.Expect(fresh.Step(t.Context())).NotTo(Succeed())
+	g.Expect(fresh.Status().Lost).To(BeTrue(), "nothing on the log has the state yet")
+	snapshot, _ := old.Snapshot()
+	_, err := log.Client().Append(t.Context(), stream, record(journal.KindSnapshot, old.offset, snapshot))
+	g.Expect(err).NotTo(HaveOccurred())
+	follow(g, fresh)
+	g.Expect(fresh.changes).To(Equal([]journal.Offset{1, 2, 3, 4, 5, 6}))
+}
+
+func TestLostEntries(t *testing.T) {
+	var log journaltest.Log
+	g := NewWithT(t)
+	appendChanges(g, &log, 2)
+	r, cut := newReplica(&log), newReplica(&log)
+	follow(g, r)
+	log.SetAway(true)
+	log.SetAway(false)
+	appendChanges(g, &log, 3)
+	log.Expire(stream, 4)
+	complete := false
+	r.PeerState = handing(func() ([]*replica, bool) { return []*replica{cut}, complete })
+
+	err := r.Step(t.Context())
+	g.Expect(errors.Is(err, journal.ErrLost)).To(BeTrue(), "a peer that does not answer may have them")
+	g.Expect(r.Status().Ready).To(BeTrue(), "goes on with the last state")
+
+	complete = true
+	follow(g, r)
+	g.Expect(r.changes).To(Equal([]journal.Offset{1, 2, 5}))
+	follow(g, cut)
+	g.Expect(cut.changes).To(Equal(r.changes), "the state was written back")
+}
+
+func TestNewerFormat(t *testing.T) {
+	g := NewWithT(t)
+	var log journaltest.Log
+	appendChanges(g, &log, 1)
+	_, err := log.Client().Append(t.Context(), stream, []byte(`{"Format":2,"Kind":"Later","Other":{}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	appendChanges(g, &log, 1)
+	r := newReplica(&log)
+	g.Expect(r.Step(t.Context())).NotTo(Succeed())
+	g.Expect(r.Step(t.Context())).NotTo(Succeed())
+	g.Expect(r.changes).To(Equal([]journal.Offset{1}))
+	g.Expect(r.Status().Stopped).To(HaveOccurred())
+	g.Expect(r.Status().Behind).To(BeTrue())
+}
+
+// TestPeriodicSnapshot runs two instances on a quiet stream whose entries
+// expire after an hour.
+func TestPeriodicSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var log journaltest.Log
+		appendChanges(g, &log, 3)
+		for _, jitter := range []float64{0.2, 0.8} {
+			r := newReplica(&log)
+			r.Wait, r.Due, r.Retention = 0, nil, time.Hour
+			r.Jitter = func() float64 { return jitter }
+			go func() { _ = r.Run(t.Context()) }()
+		}
+		time.Sleep(8 * time.Hour)
+		entries, _ := log.Appends()
+		g.Expect(entries).To(BeNumerically("~", 3+8*60/18, 2))
+		first, next := log.Bounds(stream)
+		log.Expire(stream, next-5)
+		g.Expect(first).To(Equal(journal.Offset(1)))
+		fresh := newReplica(&log)
+		follow(g, fresh)
+		g.Expect(fresh.changes).To(Equal([]journal.Offset{1, 2, 3}))
+	})
+}
+
+func TestSkipLost(t *testing.T) {
+	g := NewWithT(t)
+	var log journaltest.Log
+	appendChanges(g, &log, 3)
+	log.Expire(stream, 2)
+	r := newReplica(&log)
+	g.Expect(r.Step(t.Context())).NotTo(Succeed())
+	g.Expect(r.Status().Ready).To(BeFalse(), "a new instance has no state to serve from")
+	r.SkipLost()
+	follow(g, r)
+	g.Expect(r.changes).To(Equal([]journal.Offset{3}))
+}
+
+func TestRevertedLog(t *testing.T) {
+	g := NewWithT(t)
+	var log, empty journaltest.Log
+	appendChanges(g, &log, 3)
+	r := newReplica(&log)
+	follow(g, r)
+	r.Log = empty.Client()
+	err := r.Step(t.Context())
+	g.Expect(errors.Is(err, journal.ErrReverted)).To(BeTrue(), "%+v", err)
+	g.Expect(r.changes).To(HaveLen(3))
+	g.Expect(r.Status().Behind).To(BeTrue())
+}
--- /dev/null
+++ b/pkg/journal/replica_test.go
@@ -0,0 +1,93 @@
+package journal_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/chicorystall/chicorystall/pkg/journal/journaltest"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	stream     = "config"
+	kindChange = "Change"
+)
+
+// replica folds a stream into the list of the offsets of its changes.
+type replica struct {
+	journal.Follower
+	offset  journal.Offset
+	changes []journal.Offset
+	folded  []journal.Entry // entries given to Apply
+}
+
+func newReplica(log *journaltest.Log) *replica {
+	r := &replica{}
+	r.Log = log.Client()
+	r.Stream = stream
+	r.Format = 1
+	r.Wait = time.Nanosecond
+	r.Apply = r.apply
+	r.Restore = r.restore
+	r.Snapshot = func() ([]byte, error) { return json.Marshal(r.changes) }
+	r.Due = func(time.Duration, int) bool { return false }
+	return r
+}
+
+func (r *replica) apply(e journal.Entry) error {
+	record, err := journal.DecodeRecord(e.Data, r.Format)
+	if err != nil {
+		return err
+	}
+	r.folded = append(r.folded, e)
+	if data, ok := journal.SnapshotOf(e, r.Format); ok {
+		return r.restore(data, e.Offset)
+	}
+	r.offset = e.Offset
+	if record.Kind == kindChange {
+		r.changes = append(slices.Clip(r.changes), e.Offset)
+	}
+	return nil
+}
+
+func (r *replica) restore(data []byte, at journal.Offset) error {
+	r.changes = nil
+	r.offset = at
+	return json.Unmarshal(data, &r.changes)
+}
+
+// handing returns a PeerState function that asks the other replicas.
+func handing(others func() (replicas []*replica, complete bool)) func(context.Context, journal.Offset) (journal.PeerState, error) {
+	return func(context.Context, journal.Offset) (journal.PeerState, error) {
+		replicas, complete := others()
+		if len(replicas) == 0 {
+			return journal.PeerState{}, errors.New("no peer answers")
+		}
+		newest := journal.PeerState{Complete: complete}
+		for _, r := range replicas {
+			if r.offset > newest.Offset || newest.Data == nil {
+				newest.Offset = r.offset
+				newest.Data, _ = r.Snapshot()
+			}
+		}
+		return newest, nil
+	}
+}
+
+// record returns an encoded record.
+func record(kind string, presumes journal.Offset, body []byte) []byte {
+	data, err := journal.Record{
+		Format:   1,
+		ID:       journal.NewID(),
+		Kind:     kind,
+		Presumes: presumes,
+		Body:     body,
+	}.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/pkg/journal/step.go
+++ b/pkg/journal/step.go
@@ -24,14 +24,14 @@
 		}
 		status = f.Status()
 	}
-	wait := f.wait()
-	if !status.Ready || status.Behind {
-		wait = 0
-	}
-	page, err := f.Log.Read(ctx, f.Stream, status.Offset+1, pageEntries, wait)
+	from := status.Offset + 1
+	page, err := f.Log.Read(ctx, f.Stream, from, pageEntries, f.readWait())
 	if errors.Is(err, ErrExpired) {
 		return f.catchUp(ctx, page)
 	}
+	if err == nil && page.Next < from {
+		err = errors.Wrapf(ErrReverted, "stream %q: read up to %d, next is %d", f.Stream, from-1, page.Next)
+	}
 	if err != nil {
 		return f.away(ctx, err)
 	}
@@ -41,6 +41,17 @@
 	return f.writeSnapshot(ctx, page)
 }
 
+// readWait returns how long the next read waits for entries. Whoever may be
+// behind learns the log's end first.
+func (f *Follower) readWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.status.Ready || !f.awaySince.IsZero() {
+		return 0
+	}
+	return f.wait()
+}
+
 // start takes the newest snapshot of the log, so that a new follower does not
 // fold the whole stream.
 func (f *Follower) start(ctx context.Context) error {
@@ -60,9 +71,6 @@
 	defer f.mu.Unlock()
 	f.awaySince = time.Time{}
 	f.status.Source = SourceLog
-	if page.Next <= f.status.Offset {
-		return errors.Wrapf(ErrReverted, "stream %q: read up to %d, next is %d", f.Stream, f.status.Offset, page.Next)
-	}
 	f.status.End = max(f.status.End, page.Next-1)
 	if err := f.foldAll(page.Entries); err != nil {
 		return err
@@ -138,6 +146,7 @@
 	if isSnapshot {
 		f.entries = 0
 		f.writeBack = false
+		f.spread = random(f.Jitter)
 	}
 	if isSnapshot || f.newest.IsZero() {
 		f.newest = e.Time
--- a/pkg/journal/writeback.go
+++ b/pkg/journal/writeback.go
@@ -53,5 +53,6 @@
 	if f.Due != nil {
 		return f.Due(age, f.entries)
 	}
-	return f.entries >= snapshotEntries || f.Retention > 0 && age > f.Retention/snapshotFractions
+	span := float64(f.Retention/snapshotFractions) * (1 + f.spread)
+	return f.entries >= snapshotEntries || f.Retention > 0 && float64(age) > span
 }
