entry, claim: a key whose claimant has ended is answered at once

Cause: after SIGKILL of an entry instance each repeated key waited for the whole PendingWait (5 s), since a claimant that can't be reached was asked again and again. Excluded: the log (reads took milliseconds), the retries of the caller. Change: a claimant is known to have ended when the platform lists its run as gone, when its address refuses connections or answers as another run; then the log is read once more and the answer is unknown. A run tells the platform that it has ended; contacts that are gone are forgotten. Unknown never leads to a run, so the hint need not be certain.

--- a/internal/entry/datacentres.go
+++ b/internal/entry/datacentres.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,14 @@
 	return f.leaving[server] || f.gone[server]
 }
 
+// hasEnded reports whether the platform lists the run of an entry instance as
+// gone.
+func (f *fleetList) hasEnded(process placement.Process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.ended, process)
+}
+
 // drained reports whether operators took the data centre out.
 func (s *Server) drained(dc fleet.DataCentre) bool {
 	s.fleet.mu.Lock()
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -29,8 +29,12 @@
 		changed := s.placement.Changed()
 		table, _ := s.placement.State().Table()
 		if table.Epoch != last.Epoch {
-			s.book.SetTable(ctx, shareTable(table), removed(last, table))
+			gone := removed(last, table)
+			s.book.SetTable(ctx, shareTable(table), gone)
 			s.introduceTable(table)
+			for _, member := range gone {
+				s.members.Forget(member.Name)
+			}
 			last = table
 		}
 		s.join(ctx)
@@ -207,7 +211,7 @@
 			gone[instance.Name] = instance.State == platform.Gone
 		case instance.State == platform.Gone:
 			ended = append(ended, placement.Process{Name: instance.Name, BootID: instance.BootID})
-			s.members.RemoveRun(instance.Name, instance.BootID)
+			s.members.Forget(instance.Name)
 		case instance.Name != s.settings.Name:
 			s.members.Add(&peerpb.Instance{
 				Name:       instance.Name,
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 
 	"github.com/chicorystall/chicorystall/internal/engine"
 	"github.com/chicorystall/chicorystall/pkg/claim"
+	"github.com/chicorystall/chicorystall/pkg/placement"
 	"github.com/chicorystall/chicorystall/pkg/retry"
 )
 
@@ -151,12 +153,19 @@
 	Claim    claim.ClaimID
 }
 
-// errOtherRun reports a question about an earlier run of this entry instance.
-var errOtherRun = errors.New("the claim belongs to another run of this entry instance")
+// claimReply is the answer. OtherRun says that the claim belongs to an earlier
+// run of the entry instance.
+type claimReply struct {
+	OtherRun bool `json:",omitempty"`
+	Outcome  claim.Outcome
+}
 
 // askClaimant asks another entry instance what became of its claim.
 func (s *Server) askClaimant(ctx context.Context, claimant claim.ClaimantID, key claim.Key, id claim.ClaimID) (claim.Outcome, error) {
-	name, _, _ := strings.Cut(string(claimant), "/")
+	name, bootID, _ := strings.Cut(string(claimant), "/")
+	if s.fleet.hasEnded(placement.Process{Name: name, BootID: bootID}) {
+		return claim.Outcome{}, claim.ErrClaimantGone
+	}
 	address, known := s.members.Address(name)
 	if !known {
 		return claim.Outcome{}, errors.Newf("address of entry instance %q is not known", name)
@@ -166,12 +175,20 @@
 		return claim.Outcome{}, err
 	}
 	data, err := s.peers.AskClaim(ctx, address, question)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return claim.Outcome{}, errors.Mark(err, claim.ErrClaimantGone) // no process has the address
+	}
 	if err != nil {
 		return claim.Outcome{}, err
 	}
-	var outcome claim.Outcome
-	err = json.Unmarshal(data, &outcome)
-	return outcome, err
+	var reply claimReply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return claim.Outcome{}, err
+	}
+	if reply.OtherRun {
+		return claim.Outcome{}, claim.ErrClaimantGone
+	}
+	return reply.Outcome, nil
 }
 
 // answerClaim answers another entry instance's question.
@@ -181,7 +198,7 @@
 		return nil, err
 	}
 	if question.Claimant != s.claimant.ID {
-		return nil, errOtherRun
+		return json.Marshal(claimReply{OtherRun: true})
 	}
-	return json.Marshal(s.claimant.Outcome(question.Key, question.Claim))
+	return json.Marshal(claimReply{Outcome: s.claimant.Outcome(question.Key, question.Claim)})
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -173,6 +173,7 @@
 		return nil
 	})
 	err = group.Wait()
+	s.tellEnded()
 	s.peers.Close()
 	s.pool.Close()
 	s.platform.Close()
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chicorystall/chicorystall/internal/platform"
 	"github.com/chicorystall/chicorystall/pkg/placement"
 )
 
@@ -174,3 +175,18 @@
 
 // leaveTimeout bounds the last records of a graceful shutdown.
 const leaveTimeout = 5 * time.Second
+
+// tellEnded tells the platform that this run has ended: nothing of it is left
+// that could send anything.
+func (s *Server) tellEnded() {
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	ended := s.registration()
+	ended.State = platform.Gone
+	if err := s.platform.Register(ctx, ended); err != nil {
+		s.log.WithError(err).Debug("platform was not told that this run has ended")
+	}
+}
+
+// endedTimeout bounds the last call to the platform.
+const endedTimeout = time.Second
--- a/internal/membership/introduce.go
+++ b/internal/membership/introduce.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
+	"github.com/chicorystall/chicorystall/pkg/member"
 )
 
 // introduceEvery is the number of rounds between two introductions to a seed.
@@ -64,7 +65,7 @@
 	defer s.mu.Unlock()
 	addresses := make(map[string]string)
 	for _, row := range s.table.Rows() {
-		if row.Name != s.options.Self.GetName() {
+		if row.Name != s.options.Self.GetName() && row.Status != member.Left {
 			addresses[row.Name] = row.Address
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,6 +17,8 @@
 	maxAnswerRounds = 3
 	// contactMaxAge is the age up to which a report of another data centre counts.
 	contactMaxAge = 5 * time.Second
+	// goneSilence is the silence after which word that an instance is gone counts.
+	goneSilence = 2 * time.Second
 )
 
 // Options set up a Service.
@@ -176,15 +178,19 @@
 	s.contacts[instance.GetName()] = contact
 }
 
-// RemoveRun forgets an instance of another data centre whose run with the boot
-// ID is certainly gone.
-func (s *Service) RemoveRun(name, bootID string) {
+// Forget drops an instance of which the platform or the placement says that it
+// is gone, unless it was heard since: then a new run has its name.
+func (s *Service) Forget(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.contacts[name]
-	if ok && known.Instance.GetBootId() == bootID {
+	if ok && time.Since(known.Heard) > goneSilence {
 		delete(s.contacts, name)
-		s.table.Remove(name)
+	}
+	for _, row := range s.table.Rows() {
+		if row.Name == name && row.Status != member.Alive {
+			s.table.Remove(name)
+		}
 	}
 }
 
--- a/pkg/claim/claimant.go
+++ b/pkg/claim/claimant.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/chicorystall/chicorystall/pkg/journal"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
@@ -20,6 +22,9 @@
 	DefaultMaxBatchBytes = 256 << 10
 )
 
+// ErrClaimantGone reports that a claimant has ended and will never tell more.
+var ErrClaimantGone = errors.New("claimant has ended")
+
 // Claimant claims keys for one process. ID and Log have to be set before use,
 // all other fields may stay zero; none may change after the first call. Run must
 // be running for Begin to succeed.
@@ -29,8 +34,9 @@
 	Shards int // number of claim streams, the same in every process; 0 means DefaultShards
 
 	// AskClaimant asks the claimant what became of its claim, by calling Outcome
-	// there. It returns an error if the claimant can't be reached; nil means that
-	// other claimants can never be reached.
+	// there. It returns an error if the claimant can't be reached, marked with
+	// ErrClaimantGone if it has ended; nil means that other claimants can never be
+	// reached.
 	AskClaimant func(ctx context.Context, claimant ClaimantID, key Key, id ClaimID) (Outcome, error)
 
 	Now        func() time.Time // nil means time.Now
--- a/pkg/claim/claimant_test.go
+++ b/pkg/claim/claimant_test.go
@@ -96,3 +96,20 @@
 		g.Expect(d.Kind).To(Equal(Run), "the claim that was given up is released")
 	})
 }
+
+func TestGoneClaimantIsUnknownAtOnce(t *testing.T) {
+	bubble(t, newFakeLog(), []ClaimantID{"a", "b"}, func(ctx context.Context, g *WithT, c []*Claimant) {
+		key, digest := testKey(), DigestOf()
+		_, err := c[0].Begin(ctx, key, digest)
+		g.Expect(err).NotTo(HaveOccurred())
+
+		c[1].AskClaimant = func(context.Context, ClaimantID, Key, ClaimID) (Outcome, error) {
+			return Outcome{}, ErrClaimantGone
+		}
+		begun := time.Now()
+		d, err := c[1].Begin(ctx, key, digest)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(d.Kind).To(Equal(Unknown))
+		g.Expect(time.Since(begun)).To(BeNumerically("<", DefaultPendingWait), "virtual time")
+	})
+}
--- a/pkg/claim/judge.go
+++ b/pkg/claim/judge.go
@@ -31,6 +31,9 @@
 		if err == nil && out.Kind != Pending {
 			return asked(out)
 		}
+		if errors.Is(err, ErrClaimantGone) {
+			return r.lastWord(ctx, key, digest, changed, err)
+		}
 		if !waitChange(ctx, changed, orDefault(r.c.AskInterval, DefaultAskInterval)) {
 			return r.undecided(err)
 		}
@@ -38,6 +41,16 @@
 	}
 }
 
+// lastWord is the decision about a key whose claimant has ended. What it wrote
+// just before may still arrive.
+func (r *runner) lastWord(ctx context.Context, key Key, digest Digest, changed <-chan struct{}, gone error) Decision {
+	waitChange(ctx, changed, orDefault(r.c.AskInterval, DefaultAskInterval))
+	if d, done := decide(r.lookup(key), digest); done {
+		return d
+	}
+	return r.undecided(gone)
+}
+
 // decide returns the decision that the log alone allows.
 func decide(h Holding, digest Digest) (Decision, bool) {
 	if h.State == StateExpired {
