--- a/pkg/fleet/parse.go
+++ b/pkg/fleet/parse.go
@@ -8,8 +8,14 @@
 	if places == nil {
 		return Config{}, findings
 	}
+	faulty := make(map[string]bool)
+	for _, f := range findings {
+		faulty[f.Key] = true
+	}
 	for _, f := range check(c) {
-		findings = append(findings, places.Finding(name, f.path, f.message))
+		if !faulty[f.path] {
+			findings = append(findings, places.Finding(name, f.path, f.message))
+		}
 	}
 	return c.sorted(), findings.sorted()
 }
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/chicorystall/chicorystall/pkg/journal"
@@ -90,3 +91,138 @@
 	g.Expect(s.Offset()).To(Equal(journal.Offset(1)))
 	g.Expect(s.Changed()).To(Equal(Version{1, "import"}))
 }
+
+func TestRacingOperators(t *testing.T) {
+	g2 := Group{Name: "g1", Model: "draft", DataCentre: "dc-a", Members: []string{"w1"}}
+	tests := []struct {
+		name          string
+		first, second Change
+		conflict      bool
+	}{
+		{"both use a preset", UsePreset("peak"), UsePreset("ordinary"), true},
+		{"both change a group", PutGroup(g2), RemoveGroup("g1"), true},
+		{"drain and undrain", DrainDataCentre("dc-a"), UndrainDataCentre("dc-a"), true},
+		{"remove and change a preset", RemovePreset("peak"), PutPreset(Preset{Name: "peak"}), true},
+		{"import over a change", DrainDataCentre("dc-a"), PutFleet(Config{}), true},
+		{"change over an import", PutFleet(machineFleet()), DrainDataCentre("dc-a"), true},
+		{"two data centres", DrainDataCentre("dc-a"), DrainDataCentre("dc-b"), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			read := smallState(g)
+			s, v := change(g, read, "ana", test.first)
+			g.Expect(v.Err()).NotTo(HaveOccurred())
+			r, err := read.Record("second", "boris", test.second)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, v = fold(g, s, r)
+			winner, conflict := v.Conflict()
+			g.Expect(conflict).To(Equal(test.conflict))
+			g.Expect(v.Accepted).To(Equal(!test.conflict))
+			if conflict {
+				g.Expect(winner).To(Equal(Version{2, "ana"}))
+				g.Expect(v.Err().Error()).To(ContainSubstring(`"ana" changed it at offset 2`))
+			}
+		})
+	}
+}
+
+// TestRefused folds records that every release has to refuse alike.
+func TestRefused(t *testing.T) {
+	tests := []struct{ name, data, want string }{
+		{"no record", `hello`, "decode record"},
+		{"no format", `{"ID":"x","Kind":"PresetUse"}`, "has no format"},
+		{"no ID", `{"Format":1,"Kind":"PresetUse"}`, "has no ID"},
+		{"unknown kind", `{"Format":1,"ID":"x","Kind":"PresetSwap"}`, `kind "PresetSwap" does not exist in format 1`},
+		{"unknown field of the envelope", `{"Format":1,"ID":"x","Kind":"PresetUse","Colour":1}`, `unknown field "Colour"`},
+		{"unknown field of the body", `{"Format":1,"ID":"x","Kind":"PresetUse","Body":{"Name":"peak","Colour":1}}`, `unknown field "Colour"`},
+		{"no body", `{"Format":1,"ID":"x","Kind":"PresetUse"}`, "decode body"},
+		{"after its own offset", `{"Format":1,"ID":"x","Kind":"PresetUse","After":2}`, "is not before the record's own offset"},
+		{"missing preset", `{"Format":1,"ID":"x","Kind":"PresetUse","Presumes":1,"Body":{"Name":"night"}}`, `preset "night" does not exist`},
+		{"preset in force", `{"Format":1,"ID":"x","Kind":"PresetRemove","Presumes":1,"Body":{"Name":"ordinary"}}`, "is in force"},
+		{"group in use", `{"Format":1,"ID":"x","Kind":"GroupRemove","Presumes":1,"Body":{"Name":"g1"}}`, `Preset.peak.Route.0.Groups.0: group "g1" does not exist`},
+		{"old snapshot", `{"Format":1,"ID":"x","Kind":"Snapshot","Presumes":0,"Body":{}}`, "stands for entries up to 0"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			before := smallState(g)
+			s, v := before.Apply(journal.Entry{Offset: 2, Data: []byte(test.data)})
+			g.Expect(v.Accepted).To(BeFalse())
+			g.Expect(v.Err().Error()).To(ContainSubstring(test.want))
+			g.Expect(s.Offset()).To(Equal(journal.Offset(2)))
+			g.Expect(s.Config()).To(Equal(before.Config()))
+		})
+	}
+}
+
+// TestLateCopy has a copy arrive after the memory of its ID ended: the group it
+// once added was removed since, and must not come back.
+func TestLateCopy(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		disabled guardSet
+		back     bool
+	}{{"refused", 0, false}, {"without the guard", guardAge, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := smallState(g)
+			s.disabled = test.disabled
+			spare := BackendServer{Name: "w9", DataCentre: "dc-b", FabricDomain: "r", Address: "127.0.2.9:1", MaxInFlight: 1}
+			first, err := s.Record("first", "ana", PutBackendServer(spare))
+			g.Expect(err).NotTo(HaveOccurred())
+			s, _ = fold(g, s, first)
+			s, _ = change(g, s, "ana", RemoveBackendServer("w9"))
+			for range IDWindow {
+				s, _ = s.Apply(journal.Entry{Offset: s.Offset() + 1})
+			}
+			s, _ = fold(g, s, first)
+			_, back := s.Config().BackendServer("w9")
+			g.Expect(back).To(Equal(test.back))
+		})
+	}
+}
+
+// TestImportKeepsOperatorsMarks imports a fleet file into a running deployment.
+func TestImportKeepsOperatorsMarks(t *testing.T) {
+	g := NewWithT(t)
+	s := smallState(g)
+	s, _ = change(g, s, "ana", DrainDataCentre("dc-b"))
+	s, _ = change(g, s, "ana", UsePreset("peak"))
+	s, v := change(g, s, "ana", PutFleet(machineFleet()))
+	g.Expect(v.Err()).NotTo(HaveOccurred())
+	d, _ := s.Config().DataCentre("dc-b")
+	g.Expect(d.Drained).To(BeTrue())
+	p, _ := s.Preset()
+	g.Expect(p.Name).To(Equal("peak"))
+}
+
+func TestNewerSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Restore([]byte(`{"Format":2,"Other":1}`), 7)
+	g.Expect(err).To(BeAssignableToTypeOf(&journal.FormatError{}))
+}
+
+// TestFieldSet pins the fields of a format. Whoever adds one raises Format, and
+// then both releases of a rolling replacement reach the same state.
+func TestFieldSet(t *testing.T) {
+	g := NewWithT(t)
+	full := Config{
+		DataCentres:    []DataCentre{{}},
+		ClientAccounts: []ClientAccount{{}},
+		Services:       []Service{{}},
+		BackendServers: []BackendServer{{}},
+		Groups:         []Group{{}},
+		Presets:        []Preset{{Routes: []Route{{}}}},
+	}
+	data, err := json.Marshal(full)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Format).To(Equal(1))
+	g.Expect(string(data)).To(Equal(`{"DataCentres":[{"Name":"","Drained":false}],` +
+		`"ClientAccounts":[{"Name":"","Key":"","Weight":0}],` +
+		`"Services":[{"Name":"","NonIdempotent":null,"RequestTimeout":0}],` +
+		`"BackendServers":[{"Name":"","DataCentre":"","FabricDomain":"","Address":"","Service":"","ChecksFence":false,` +
+		`"MaxInFlight":0,"MaxTokens":0,"ColdInFlight":0,"Accelerators":0}],` +
+		`"Groups":[{"Name":"","Model":"","ModelVersion":"","DataCentre":"","Members":null}],` +
+		`"Presets":[{"Name":"","Default":false,"Routes":[{"ClientAccounts":null,"Groups":null,"Priority":0}]}]}`))
+}
