--- a/pkg/fleet/machine_test.go
+++ b/pkg/fleet/machine_test.go
@@ -197,10 +197,9 @@
 	if err != nil {
 		return err
 	}
-	if seen, ok := m.known[s.Offset()]; ok && seen != string(body) {
-		return fmt.Errorf("states at offset %d differ:\n%s\n%s", s.Offset(), seen, body)
+	if err := m.compare(s, string(body)); err != nil {
+		return err
 	}
-	m.known[s.Offset()] = string(body)
 	if m.gate != 0 && s.Offset() >= m.gate {
 		return fmt.Errorf("state is at offset %d, past the newer format at %d", s.Offset(), m.gate)
 	}
@@ -219,6 +218,26 @@
 	return nil
 }
 
+// compare checks that states at one offset are equal, and that each is restored
+// from its snapshot as it was.
+func (m *machine) compare(s State, body string) error {
+	if seen, ok := m.known[s.Offset()]; ok {
+		if seen != body {
+			return fmt.Errorf("states at offset %d differ:\n%s\n%s", s.Offset(), seen, body)
+		}
+		return nil
+	}
+	m.known[s.Offset()] = body
+	restored, err := Restore([]byte(body), s.Offset())
+	if err != nil {
+		return err
+	}
+	if again, err := restored.Encode(); err != nil || string(again) != body {
+		return fmt.Errorf("snapshot at offset %d is restored differently: %v", s.Offset(), err)
+	}
+	return nil
+}
+
 // uniqueMembers finds a backend server in two groups.
 func uniqueMembers(c Config) error {
 	groups := make(map[string]string)
