--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -16,6 +16,15 @@
 // specifications lists what is checked: a file, the switch that takes one guard
 // away or "" for all guards, and what the checker has to say.
 var specifications = []struct{ file, without, verdict string }{
+	{"claims.pml", "", safe},
+	{"claims.pml", "NO_READ_BACK", violated},
+	{"claims.pml", "NO_WINNER_RELEASE", violated},
+	{"claims.pml", "NO_COVERAGE", violated},
+	{"claims.pml", "NO_SINGLE_USE", violated},
+	{"claims.pml", "NO_GIVEN_UP", violated},
+	{"claims.pml", "NO_ONE_VERDICT", violated},
+	{"claims.pml", "NO_FRESH_READ", violated},
+	{"claims.pml", "ANY_FIRST", violated},
 	{"configuration.pml", "", safe},
 	{"configuration.pml", "NO_IDS", violated},
 	{"configuration.pml", "NO_PRESUMES", violated},
