--- a/pkg/journal/follower.go
+++ b/pkg/journal/follower.go
@@ -68,17 +68,18 @@
 	Now       func() time.Time // nil stands for time.Now
 	Jitter    func() float64   // in [0,1), nil stands for math/rand
 
-	mu        sync.Mutex
-	status    Status    // but for Behind and Since, which Status computes
-	awaySince time.Time // when reads of the log began to fail, zero while they work
-	peerEnd   time.Time // when a peer at the log's end last handed its entries over
-	newest    time.Time // log's time of the newest valid snapshot, or of the first entry
-	entries   int       // folded since the newest valid snapshot
-	spread    float64   // in [0,1), share by which this instance waits longer
-	tried     time.Time // when this instance last tried to write a snapshot
-	writeBack bool      // the log has no usable snapshot, so write one whoever is due
-	skipLost  bool      // an operator said that nobody holds the lost entries' state
-	disabled  guardSet
+	mu         sync.Mutex
+	status     Status    // but for Behind and Since, which Status computes
+	awaySince  time.Time // when reads of the log began to fail, zero while they work
+	peerEnd    time.Time // when a peer at the log's end last handed its entries over
+	newest     time.Time // log's time of the newest valid snapshot, or of the first entry
+	snapshotAt Offset    // of the newest valid snapshot
+	entries    int       // folded since the newest valid snapshot
+	spread     float64   // in [0,1), share by which this instance waits longer
+	tried      time.Time // when this instance last tried to write a snapshot
+	writeBack  bool      // the log no longer gives the state, so write it whoever is due
+	skipLost   bool      // an operator said that nobody holds the lost entries' state
+	disabled   guardSet
 }
 
 // guardSet are the checks that tests switch off to see that they matter.
--- a/pkg/journal/follower_test.go
+++ b/pkg/journal/follower_test.go
@@ -86,15 +86,27 @@
 	log.Expire(stream, 5)
 	follow(g, old)
 	fresh := newReplica(&log)
-	g.Expect(fresh.Step(t.Context())).NotTo(Succeed())
-	g.Expect(fresh.Status().Lost).To(BeTrue(), "nothing on the log has the state yet")
-	snapshot, _ := old.Snapshot()
-	_, err := log.Client().Append(t.Context(), stream, record(journal.KindSnapshot, old.offset, snapshot))
-	g.Expect(err).NotTo(HaveOccurred())
 	follow(g, fresh)
 	g.Expect(fresh.changes).To(Equal([]journal.Offset{1, 2, 3, 4, 5, 6}))
 }
 
+// TestQuietStream has all entries of a stream expire while its instances run
+// and write no snapshot in time.
+func TestQuietStream(t *testing.T) {
+	g := NewWithT(t)
+	var log journaltest.Log
+	appendChanges(g, &log, 3)
+	old := newReplica(&log)
+	follow(g, old)
+	log.Expire(stream, 3)
+	follow(g, old)
+	fresh := newReplica(&log)
+	follow(g, fresh)
+	g.Expect(fresh.changes).To(Equal(old.changes))
+	entries, _ := log.Appends()
+	g.Expect(entries).To(Equal(4), "one snapshot")
+}
+
 func TestLostEntries(t *testing.T) {
 	var log journaltest.Log
 	g := NewWithT(t)
--- a/pkg/journal/step.go
+++ b/pkg/journal/step.go
@@ -72,6 +72,9 @@
 	f.awaySince = time.Time{}
 	f.status.Source = SourceLog
 	f.status.End = max(f.status.End, page.Next-1)
+	if page.First > 1 && page.First > f.snapshotAt {
+		f.writeBack = true
+	}
 	if err := f.foldAll(page.Entries); err != nil {
 		return err
 	}
@@ -145,6 +148,7 @@
 	f.entries++
 	if isSnapshot {
 		f.entries = 0
+		f.snapshotAt = e.Offset
 		f.writeBack = false
 		f.spread = random(f.Jitter)
 	}
