--- a/pkg/journal/machine_test.go
+++ b/pkg/journal/machine_test.go
@@ -21,8 +21,8 @@
 	machineSteps    = 120
 )
 
+// TestMain fixes the seed and the number of runs, which flags may change.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
