--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -220,3 +220,16 @@
 		})
 	}
 }
+
+func TestGrownLimitsNeedNoWord(t *testing.T) {
+	g := NewWithT(t)
+	ledgers := fleetOf(3, Limit{InFlight: 3, ColdInFlight: 3})
+	heard := ledgers[:2] // the third one is silent
+	for _, l := range heard {
+		l.SetLimits(Limits{Version: 2, Backends: map[string]Limit{"s1": {InFlight: 9, ColdInFlight: 9}}})
+		l.MarkWarm("s1", "b1")
+	}
+	exchange(heard)
+	g.Expect(acquireAll(heard)).To(HaveLen(6))
+	g.Expect(acquireAll(ledgers[2:])).To(HaveLen(1), "the silent one keeps to what it knows")
+}
