--- a/internal/measure/model_entry.go
+++ b/internal/measure/model_entry.go
@@ -19,6 +19,7 @@
 	at       time.Duration
 	requests int
 	pending  int
+	speed    int
 	warm     bool
 	boot     string
 }
@@ -80,7 +81,7 @@
 		return
 	}
 	p.connected, p.boot = true, s.bootID()
-	p.report = modelReport{at: e.fleet.clock.now, warm: s.bears() == serverBatch, boot: p.boot}
+	p.report = modelReport{at: e.fleet.clock.now, warm: s.bears() == serverBatch, boot: p.boot, speed: s.speed()}
 	e.ledger.Observe(s.name, p.boot)
 	if p.report.warm {
 		e.ledger.MarkWarm(s.name, p.boot)
--- a/internal/measure/model_fleet.go
+++ b/internal/measure/model_fleet.go
@@ -62,6 +62,7 @@
 	entries    []*modelEntry
 	servers    []*modelServer
 	room       int // last summary
+	work       time.Duration
 	roomAt     time.Duration
 }
 
@@ -180,14 +181,7 @@
 	if !s.up {
 		return
 	}
-	r := modelReport{at: f.clock.now, requests: s.holds(), warm: s.bears() == serverBatch, boot: s.bootID()}
-	for _, q := range append(s.waiting, s.running...) {
-		if q.prefill > 0 {
-			r.pending += q.prefill
-		} else if q.made == 0 {
-			r.pending += q.prompt
-		}
-	}
+	r := modelReport{at: f.clock.now, requests: s.holds(), warm: s.bears() == serverBatch, boot: s.bootID(), pending: s.pending(), speed: s.speed()}
 	s.events++
 	ev := route.Event{Boot: s.bootID(), Seq: s.events, Stored: s.stored, Removed: s.removed}
 	s.stored, s.removed = nil, nil
@@ -203,14 +197,17 @@
 	if dc.lost {
 		return
 	}
-	room := 0
+	room, up := 0, 0
+	var work time.Duration
 	for _, s := range dc.servers {
 		if s.up {
+			up++
 			room += max(s.bears()-s.holds(), 0)
+			work += time.Duration(s.pending()) * time.Second / time.Duration(s.speed())
 		}
 	}
 	at := f.clock.now
-	f.clock.after(reportEvery/2, func() { dc.room, dc.roomAt = room, at })
+	f.clock.after(reportEvery/2, func() { dc.room, dc.roomAt, dc.work = room, at, work/time.Duration(max(up, 1)) })
 }
 
 func (f *modelFleet) dc(name string) *modelDC {
--- a/internal/measure/model_policy.go
+++ b/internal/measure/model_policy.go
@@ -145,6 +145,7 @@
 			Ramp:      dc.ramp(f.clock.now),
 			Room:      dc.room,
 			SpillSent: e.spilledSince(dc),
+			Work:      dc.work,
 		})
 		if dc == e.dc {
 			continue
@@ -188,7 +189,7 @@
 			Age:           e.fleet.clock.now - p.report.at,
 			Requests:      p.report.requests,
 			PendingTokens: p.report.pending,
-			TokensPerSec:  serverPrefill,
+			TokensPerSec:  p.report.speed,
 		},
 	}
 	for _, send := range p.sends {
--- a/internal/measure/model_server.go
+++ b/internal/measure/model_server.go
@@ -94,6 +94,26 @@
 	return min(bears, serverBatch)
 }
 
+// speed is the prompt tokens a second that it prefills.
+func (s *modelServer) speed() int {
+	if s.bears() < serverBatch {
+		return serverPrefill / serverColdFactor / max(s.slow, 1)
+	}
+	return serverPrefill / max(s.slow, 1)
+}
+
+// pending counts prompt tokens that wait for prefill.
+func (s *modelServer) pending() int {
+	n := 0
+	for _, q := range s.waiting {
+		n += q.prompt
+	}
+	for _, q := range s.running {
+		n += q.prefill
+	}
+	return n
+}
+
 // holdsNew counts what came since it turned cold; the rest only runs out.
 func (s *modelServer) holdsNew() int {
 	n := 0
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/chicorystall/chicorystall/pkg/limit"
@@ -15,16 +16,19 @@
 	if c == nil {
 		return Decision{}, refuse(r, ReasonNotAllowed, 0)
 	}
-	if v.ownOpen {
-		if i, reason, ok := v.pick(c.own, r); ok {
-			return v.decide(i, r, reason), nil
-		}
+	own, reason, ok := v.pick(c.own, r)
+	within := time.Duration(math.MaxInt64)
+	if ok {
+		within = v.workWith(own, r)
 	}
-	if !r.Forwarded {
-		if i, ok := v.spill(c.foreign, r); ok {
+	if !r.Forwarded && within > v.tuning.SpillWork {
+		if i, found := v.spill(c.foreign, r, within); found {
 			return v.decide(i, r, ReasonSpill), nil
 		}
 	}
+	if ok {
+		return v.decide(own, r, reason), nil
+	}
 	return Decision{}, v.refusal(c, r)
 }
 
@@ -98,6 +102,9 @@
 
 // pick chooses among the candidates of one data centre.
 func (v *View) pick(list []int32, r *Request) (int32, Reason, bool) {
+	if !v.ownOpen {
+		return 0, 0, false
+	}
 	s := v.survey(list, r)
 	if s.eligible == 0 {
 		return v.onlyAvoided(list, r)
@@ -150,9 +157,9 @@
 	return g.work + tokensTime(r.PromptTokens-g.cachedTokens(r), g.prefillRate())
 }
 
-// spill chooses a group in another data centre, within the part of that data
-// centre's room that this entry instance may use.
-func (v *View) spill(list []int32, r *Request) (int32, bool) {
+// spill chooses a group in another data centre whose work is less than within,
+// within the part of that data centre's room that this entry instance may use.
+func (v *View) spill(list []int32, r *Request, within time.Duration) (int32, bool) {
 	need := limit.Amount{Requests: 1, Tokens: r.Tokens()}
 	best := int32(-1)
 	bestLeft := 0.0
@@ -161,7 +168,7 @@
 		if !g.open || g.Backend == r.Avoid || !need.FitsIn(g.Bears) {
 			continue
 		}
-		left := v.spillLeft(g.DataCentre)
+		left := v.spillLeft(g.DataCentre, r, within)
 		if left >= 1 && (left > bestLeft || left == bestLeft && g.work < v.groups[best].work) {
 			best, bestLeft = i, left
 		}
@@ -170,13 +177,14 @@
 }
 
 // spillLeft returns how many requests this entry instance may still forward.
-func (v *View) spillLeft(name string) float64 {
+func (v *View) spillLeft(name string, r *Request, within time.Duration) float64 {
 	for i := range v.dataCentres {
 		dc := &v.dataCentres[i]
 		if dc.Name != name {
 			continue
 		}
-		if dc.Drained || !dc.Reachable {
+		work := dc.Work + tokensTime(r.PromptTokens, assumedPrefillRate)
+		if dc.Drained || !dc.Reachable || work >= within {
 			return 0
 		}
 		if !v.on(guardSpill) {
--- a/pkg/route/choose_test.go
+++ b/pkg/route/choose_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -37,6 +38,14 @@
 	}
 }
 
+// slowDown gives the own groups so much work, a1 more than a2.
+func slowDown(c *Config, work time.Duration) {
+	for i := range 2 {
+		c.Groups[i].Report.TokensPerSec = 1000
+		c.Groups[i].Report.PendingTokens = int(work/time.Millisecond) + 100 - 50*i
+	}
+}
+
 func digestOf(blocks ...uint64) Digest {
 	var c Cache
 	c.Confirm("b", blocks)
@@ -109,6 +118,26 @@
 			},
 			group: "b1", reason: ReasonSpill,
 		},
+		{
+			name:   "own data centre slow",
+			change: func(c *Config) { slowDown(c, 10*time.Second) },
+			group:  "b1", reason: ReasonSpill,
+		},
+		{
+			name: "own data centre slow, the neighbour slower",
+			change: func(c *Config) {
+				slowDown(c, 10*time.Second)
+				c.DataCentres[1].Work = time.Minute
+			},
+			request: func(r *Request) { r.Blocks = nil },
+			group:   "a2", reason: ReasonLeastWork,
+		},
+		{
+			name:    "own data centre slow, forwarded work",
+			change:  func(c *Config) { slowDown(c, 10*time.Second) },
+			request: func(r *Request) { r.Blocks, r.Forwarded = nil, true },
+			group:   "a2", reason: ReasonLeastWork,
+		},
 		{
 			name:    "forwarded work stays",
 			change:  func(c *Config) { c.DataCentres[0].Drained = true },
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -43,11 +43,12 @@
 // DataCentre is a data centre as an entry instance sees it.
 type DataCentre struct {
 	Name      string
-	Drained   bool    // operators took it out
-	Reachable bool    // an entry instance there answers
-	Ramp      float64 // part of its room that it may be given, 0 to 1, while it returns
-	Room      int     // requests that its groups could take at its last report
-	SpillSent int     // requests that were forwarded there since that report
+	Drained   bool          // operators took it out
+	Reachable bool          // an entry instance there answers
+	Ramp      float64       // part of its room that it may be given, 0 to 1, while it returns
+	Room      int           // requests that its groups could take at its last report
+	SpillSent int           // requests that were forwarded there since that report
+	Work      time.Duration // mean estimated work before a new request's own prefill, at that report
 }
 
 // Route allows client accounts to use groups.
@@ -83,9 +84,10 @@
 
 // Tuning holds the constants of the choice. Zero fields take the defaults.
 type Tuning struct {
-	Bound      float64 // load of a group with a cached prefix, in parts of the mean load
-	SpillShare float64 // part of a neighbour's room that the own data centre may use
-	MinMatch   int     // blocks that make a cached prefix worth following
+	Bound      float64       // load of a group with a cached prefix, in parts of the mean load
+	SpillShare float64       // part of a neighbour's room that the own data centre may use
+	MinMatch   int           // blocks that make a cached prefix worth following
+	SpillWork  time.Duration // estimated work from which a neighbour with less is preferred
 }
 
 // Defaults of [Tuning].
@@ -93,6 +95,7 @@
 	DefaultBound      = 1.5
 	DefaultSpillShare = 0.5
 	DefaultMinMatch   = 1
+	DefaultSpillWork  = 500 * time.Millisecond
 )
 
 // View is an immutable picture of groups, data centres and routes.
@@ -189,6 +192,9 @@
 	if t.MinMatch == 0 {
 		t.MinMatch = DefaultMinMatch
 	}
+	if t.SpillWork == 0 {
+		t.SpillWork = DefaultSpillWork
+	}
 	return t
 }
 
