--- a/pkg/journal/catchup.go
+++ b/pkg/journal/catchup.go
@@ -29,7 +29,8 @@
 }
 
 // takePeer takes a peer's state when it is newer than the own one. With the
-// newest state of all that can be reached, the follower is ready.
+// newest state of all that can be reached, the follower is ready, unless they
+// all are as new as itself.
 func (f *Follower) takePeer(peer PeerState) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -44,7 +45,7 @@
 		f.status.Offset = peer.Offset
 		f.status.Source = SourcePeer
 	}
-	f.status.Ready = true
+	f.status.Ready = f.status.Ready || !peer.NoneReady
 	return nil
 }
 
--- a/pkg/journal/follower.go
+++ b/pkg/journal/follower.go
@@ -32,9 +32,15 @@
 
 // PeerState is the newest state that other instances hold.
 type PeerState struct {
-	Offset   Offset
-	Data     []byte // snapshot of the state at Offset
-	Complete bool   // every other listed instance answered
+	Offset Offset
+	Data   []byte // snapshot of the state at Offset
+	// Complete means that every other instance on the platform's list answered,
+	// also those that do not send heartbeats. Without it lost entries are not
+	// skipped.
+	Complete bool
+	// NoneReady means that no instance that answered is ready itself. Its state
+	// is taken, but does not make the follower ready.
+	NoneReady bool
 }
 
 // Follower folds one stream into a state that the caller holds. Apply, Restore
--- a/pkg/journal/follower_test.go
+++ b/pkg/journal/follower_test.go
@@ -65,6 +65,31 @@
 	})
 }
 
+// TestHalfStartedPeers has the log go away while all instances start: none may
+// take another's word that half of the stream is all of it.
+func TestHalfStartedPeers(t *testing.T) {
+	g := NewWithT(t)
+	var log journaltest.Log
+	appendChanges(g, &log, 600)
+	var replicas [2]*replica
+	for i := range replicas {
+		replicas[i] = newReplica(&log)
+		replicas[i].PeerState = handing(func() ([]*replica, bool) { return []*replica{replicas[1-i]}, true })
+	}
+	g.Expect(replicas[0].Step(t.Context())).To(Succeed())
+	log.SetAway(true)
+	for _, r := range replicas {
+		g.Expect(r.Step(t.Context())).NotTo(Succeed())
+		g.Expect(r.offset).To(Equal(journal.Offset(256)))
+		g.Expect(r.Status().Ready).To(BeFalse())
+	}
+	log.SetAway(false)
+	for _, r := range replicas {
+		follow(g, r)
+		g.Expect(r.Status().Ready).To(BeTrue())
+	}
+}
+
 // TestReplacedDuringOutage replaces every instance while the log is away for
 // longer than its retention, and then brings the log back empty.
 func TestReplacedDuringOutage(t *testing.T) {
--- a/pkg/journal/replica_test.go
+++ b/pkg/journal/replica_test.go
@@ -66,8 +66,9 @@
 		if len(replicas) == 0 {
 			return journal.PeerState{}, errors.New("no peer answers")
 		}
-		newest := journal.PeerState{Complete: complete}
+		newest := journal.PeerState{Complete: complete, NoneReady: true}
 		for _, r := range replicas {
+			newest.NoneReady = newest.NoneReady && !r.Status().Ready
 			if r.offset > newest.Offset || newest.Data == nil {
 				newest.Offset = r.offset
 				newest.Data, _ = r.Snapshot()
