group, placement, spec: leaving members drain, one codec, one runner

A member that the platform listed as leaving was replaced at once, and the new epoch cut off the requests that ran in its group. Now the group drains, dissolves when nothing is in flight and forms again without the member (group.TestLeavingMember).

--- a/pkg/group/controller_test.go
+++ b/pkg/group/controller_test.go
@@ -260,6 +260,25 @@
 	g.Expect(b.state.Groups()).To(BeEmpty())
 }
 
+// A member that leaves in order cuts off no request: its group drains first.
+func TestLeavingMember(t *testing.T) {
+	b := newBench(twoDomains(false), []fleet.Group{desired("g1", "s1", "s2")})
+	b.rounds(8)
+	before, _ := b.state.Group("g1")
+	b.input.InFlight = map[string]int{"g1": 1}
+	b.input.Leaving = map[string]bool{"s2": true}
+	b.rounds(5)
+	g := NewWithT(t)
+	during, _ := b.state.Group("g1")
+	g.Expect(during.Epoch).To(Equal(before.Epoch), "the running request keeps its epoch")
+	g.Expect(b.whole("g1")).NotTo(Succeed())
+	b.input.InFlight = nil
+	b.rounds(10)
+	g.Expect(b.whole("g1")).To(Succeed())
+	wantMembers(t, b, "g1", "s1", "s3")
+	g.Expect(b.refused).To(BeEmpty())
+}
+
 // A controller that hears almost nobody changes no group.
 func TestBlindController(t *testing.T) {
 	b := newBench(twoDomains(true), []fleet.Group{desired("g1", "s1", "s2")})
--- a/pkg/group/issuer.go
+++ b/pkg/group/issuer.go
@@ -29,7 +29,8 @@
 // will be.
 var ErrNotSent = errors.New("order was not sent")
 
-// Issuer sends orders. A claimed order is sent once in the life of a process.
+// Issuer sends orders. A claimed order is sent once in the life of a process;
+// others are sent one at a time to each server.
 type Issuer struct {
 	Self placement.Process
 	// Send sends one order, without any repetition. nil means that the server
@@ -40,6 +41,7 @@
 
 	disabled guard
 	mu       sync.Mutex
+	busy     map[string]bool // servers to which an order without a claim is being sent
 	sent     map[journal.Offset]bool
 	outcomes map[journal.Offset]placement.Record
 }
@@ -49,7 +51,7 @@
 // sent.
 func (i *Issuer) Issue(ctx context.Context, s placement.State, o Order) error {
 	if o.Claim == 0 {
-		return i.Send(ctx, o)
+		return i.issueFenced(ctx, o)
 	}
 	claim, ok := s.Claim(o.Server)
 	if i.on(guardClaim) && (!ok || claim.Offset != o.Claim || claim.Claimant != i.Self) {
@@ -63,6 +65,35 @@
 	return err
 }
 
+// issueFenced sends an order that may be repeated. While one is under way to the
+// server, the next decision brings the order again.
+func (i *Issuer) issueFenced(ctx context.Context, o Order) error {
+	if !i.setBusy(o.Server) {
+		return nil
+	}
+	defer i.clearBusy(o.Server)
+	return i.Send(ctx, o)
+}
+
+func (i *Issuer) setBusy(server string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.busy[server] {
+		return false
+	}
+	if i.busy == nil {
+		i.busy = make(map[string]bool)
+	}
+	i.busy[server] = true
+	return true
+}
+
+func (i *Issuer) clearBusy(server string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.busy, server)
+}
+
 // begin reports whether the claimed order is sent for the first time.
 func (i *Issuer) begin(claim journal.Offset) bool {
 	i.mu.Lock()
--- a/pkg/group/planner.go
+++ b/pkg/group/planner.go
@@ -113,7 +113,7 @@
 
 // lost reports whether the server is gone for good as far as can be known.
 func (p *planner) lost(server string) bool {
-	if p.in.Gone[server] || p.in.Leaving[server] {
+	if p.in.Gone[server] {
 		return true
 	}
 	if _, ok := p.servers[server]; !ok {
@@ -143,7 +143,7 @@
 // usable reports whether the server can be given to a group.
 func (p *planner) usable(server string) bool {
 	s, ok := p.servers[server]
-	if !ok || s.Service != "" || p.taken[server] || p.apart(server) || p.lost(server) {
+	if !ok || s.Service != "" || p.taken[server] || p.in.Leaving[server] || p.apart(server) || p.lost(server) {
 		return false
 	}
 	return p.in.Reports.fresh(server, p.in.Now, p.Check.maxAge())
--- a/pkg/group/repair.go
+++ b/pkg/group/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/chicorystall/chicorystall/pkg/placement"
@@ -9,10 +10,11 @@
 
 // broken is a group that lost members.
 type broken struct {
-	group placement.Group
-	keep  []string // members that go on
-	lost  []string
-	held  bool // the log would refuse a new epoch with one of those that go on
+	group   placement.Group
+	keep    []string // members that go on
+	lost    []string
+	leaving string // a member that the platform is about to stop, while none is lost otherwise
+	held    bool   // the log would refuse a new epoch with one of those that go on
 }
 
 // repair gives broken groups a new epoch with whole members.
@@ -27,6 +29,10 @@
 		if !damaged {
 			continue
 		}
+		if b.leaving != "" && takesWork(g) {
+			p.drain(g, fmt.Sprintf("%q leaves", b.leaving))
+			continue
+		}
 		if b.held || p.assign(want, g.Epoch, g.FabricDomain, b.keep) {
 			continue
 		}
@@ -56,10 +62,13 @@
 func (p *planner) examine(g placement.Group) (broken, bool) {
 	b := broken{group: g}
 	damaged := false
+	dead := false
 	for _, m := range g.Members {
 		r := p.in.Reports[m.Name]
 		restarted := r.BootID != "" && r.BootID != m.BootID
-		if p.lost(m.Name) || p.disobeyed(m, r) {
+		unfit := p.lost(m.Name) || p.disobeyed(m, r)
+		dead = dead || unfit || restarted
+		if unfit || p.in.Leaving[m.Name] {
 			b.lost = append(b.lost, m.Name)
 			damaged = true
 			continue
@@ -68,9 +77,18 @@
 		b.held = b.held || p.apart(m.Name)
 		damaged = damaged || restarted || p.forgot(g, m, r)
 	}
+	if i := slices.IndexFunc(b.lost, func(n string) bool { return p.in.Leaving[n] }); i >= 0 && !dead {
+		b.leaving = b.lost[i]
+	}
 	return b, damaged
 }
 
+// takesWork reports whether requests may run in the group. It drains before it
+// loses a member that leaves in order.
+func takesWork(g placement.Group) bool {
+	return g.Phase == placement.PhaseCold || g.Phase == placement.PhaseServing
+}
+
 // disobeyed reports whether the member is in quarantine and reports after its
 // beginning that it did not obey the order in doubt.
 func (p *planner) disobeyed(m placement.Member, r Report) bool {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -167,6 +167,15 @@
 	g.Expect(s.addData(s.entries[0].Data).Accepted).To(BeFalse(), "a forgotten ID meets the preconditions")
 }
 
+func TestSnapshotRecord(t *testing.T) {
+	var s stream
+	v := s.addData([]byte(`{"Format":1,"ID":"a","Kind":"Snapshot","Body":{}}`))
+	g := NewWithT(t)
+	g.Expect(v.Skipped).To(BeTrue())
+	g.Expect(v.Findings).To(BeEmpty())
+	g.Expect(s.state.Offset()).To(BeEquivalentTo(1))
+}
+
 func TestNewerFormatStops(t *testing.T) {
 	g := NewWithT(t)
 	var s stream
--- a/pkg/placement/record.go
+++ b/pkg/placement/record.go
@@ -69,52 +69,47 @@
 	Body     Body
 }
 
-// envelope is the form of a record on the stream.
-type envelope struct {
-	Format   int
-	ID       string
-	Kind     string
-	Presumes journal.Offset
-	Writer   string
-	Body     json.RawMessage
-}
-
 // Encode returns the record in the form that the stream holds.
 func (r Record) Encode() ([]byte, error) {
 	body, err := json.Marshal(r.Body)
 	if err != nil {
 		return nil, errors.Wrapf(err, "body of record %q", r.ID)
 	}
-	return json.Marshal(envelope{Format, r.ID, r.Body.Kind().String(), r.Presumes, r.Writer, body})
+	envelope := journal.Record{
+		Format:   Format,
+		ID:       r.ID,
+		Kind:     r.Body.Kind().String(),
+		Presumes: r.Presumes,
+		Writer:   r.Writer,
+		Body:     body,
+	}
+	return envelope.Encode()
 }
 
 // ErrNewerFormat reports a record of a form that this release cannot apply.
 var ErrNewerFormat = errors.New("record has a newer format")
 
+// errSnapshot reports a record that carries a state and changes none.
+var errSnapshot = errors.New("record is a snapshot")
+
 // Decode reads a record. A record of a newer format yields ErrNewerFormat.
 func Decode(data []byte) (Record, error) {
-	var env envelope
-	if err := json.Unmarshal(data, &env); err != nil {
-		var form struct{ Format int }
-		if json.Unmarshal(data, &form) == nil && form.Format > Format {
-			return Record{}, ErrNewerFormat
-		}
-		return Record{}, errors.Wrap(err, "record is not readable")
-	}
-	if env.Format > Format {
+	envelope, err := journal.DecodeRecord(data, Format)
+	var newer *journal.FormatError
+	if errors.As(err, &newer) {
 		return Record{}, ErrNewerFormat
 	}
-	r := Record{ID: env.ID, Presumes: env.Presumes, Writer: env.Writer}
-	if env.ID == "" {
-		return r, errors.New("record has no ID")
+	if err != nil {
+		return Record{}, err
+	}
+	r := Record{ID: envelope.ID, Presumes: envelope.Presumes, Writer: envelope.Writer}
+	if envelope.Kind == journal.KindSnapshot {
+		return r, errSnapshot
 	}
-	make, ok := bodies[env.Kind]
+	body, ok := bodies[envelope.Kind]
 	if !ok {
-		return r, fmt.Errorf("kind %q does not exist in format %d", env.Kind, env.Format)
-	}
-	r.Body = make()
-	if err := json.Unmarshal(env.Body, r.Body); err != nil {
-		return r, errors.Wrapf(err, "body of record %q", env.ID)
+		return r, fmt.Errorf("kind %q does not exist in format %d", envelope.Kind, envelope.Format)
 	}
-	return r, nil
+	r.Body = body()
+	return r, envelope.DecodeBody(r.Body)
 }
--- a/pkg/placement/state.go
+++ b/pkg/placement/state.go
@@ -169,7 +169,8 @@
 }
 
 // Apply returns the state after the entry, and what became of its record. An
-// entry at or before the state's offset changes nothing. Once an entry has a
+// entry at or before the state's offset changes nothing, and a snapshot only the
+// offset. Once an entry has a
 // newer format, no further entry is applied.
 func (s State) Apply(entry journal.Entry) (State, Verdict) {
 	if s.stopped != 0 || entry.Offset <= s.offset {
@@ -181,6 +182,9 @@
 		return s, Verdict{Offset: entry.Offset, Skipped: true, Findings: []Finding{{"Format", err.Error()}}}
 	}
 	s.offset = entry.Offset
+	if errors.Is(err, errSnapshot) {
+		return s, Verdict{Offset: entry.Offset, ID: r.ID, Skipped: true}
+	}
 	if err != nil {
 		return s, Verdict{Offset: entry.Offset, ID: r.ID, Findings: []Finding{{"Record", err.Error()}}}
 	}
--- a/pkg/placement/verdict.go
+++ b/pkg/placement/verdict.go
@@ -21,7 +21,7 @@
 	ID       string
 	Kind     Kind
 	Accepted bool
-	Skipped  bool // not applied: already applied before, or after an entry of a newer format
+	Skipped  bool // not applied: applied before, a snapshot, or after an entry of a newer format
 	Findings []Finding
 }
 
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -32,6 +32,16 @@
 	{"configuration.pml", "NO_NEWEST", violated},
 	{"configuration.pml", "NO_COMPLETE", violated},
 	{"configuration.pml", "NO_FORMAT", violated},
+	{"groups.pml", "", safe},
+	{"groups.pml", "NO_UNIQUE", violated},
+	{"groups.pml", "NO_SOLE", violated},
+	{"groups.pml", "NO_APART", violated},
+	{"groups.pml", "NO_QUARANTINE", violated},
+	{"groups.pml", "NO_UNKNOWN", violated},
+	{"groups.pml", "NO_TAKEOVER", violated},
+	{"groups.pml", "NO_ONEORDER", violated},
+	{"groups.pml", "NO_OBSERVED", violated},
+	{"groups.pml", "NO_ONCE", violated},
 }
 
 func TestSpecifications(t *testing.T) {
