--- a/internal/measure/groups.go
+++ b/internal/measure/groups.go
@@ -30,7 +30,7 @@
 	issuer  *group.Issuer
 	input   group.Input
 	state   placement.State
-	entries int
+	log     []journal.Entry
 	ids     int
 	servers []*simServer
 	byName  map[string]*simServer
@@ -103,8 +103,9 @@
 	if err != nil {
 		panic(err)
 	}
-	r.entries++
-	r.state, _ = r.state.Apply(journal.Entry{Offset: journal.Offset(r.entries), Data: data})
+	e := journal.Entry{Offset: journal.Offset(len(r.log) + 1), Data: data}
+	r.log = append(r.log, e)
+	r.state, _ = r.state.Apply(e)
 }
 
 // obey makes a server start to load the group of an order.
--- a/internal/measure/groups_repair.go
+++ b/internal/measure/groups_repair.go
@@ -78,7 +78,7 @@
 		r := newGroupRun(seed+trial, groupFleet{3, 2, spares}, policy, storeLoads)
 		r.runUntil(faultAt)
 		r.counting = true
-		before := r.entries
+		before := len(r.log)
 		lost := fault.hurts(r)
 		for _, name := range lost {
 			r.kill(name)
@@ -91,7 +91,7 @@
 		downtime += r.downtime
 		stranded += r.stranded
 		spare += r.spare
-		records += r.entries - before
+		records += len(r.log) - before
 	}
 	label := policy.String()
 	if spares == 0 && policy == group.Wait {
--- a/internal/measure/groups_test.go
+++ b/internal/measure/groups_test.go
@@ -11,6 +11,8 @@
 
 func TestGroupLoads(t *testing.T) { wantTable(t, GroupLoads(1), 2) }
 
+func TestPlacementCost(t *testing.T) { wantTable(t, PlacementCost(1), 3) }
+
 // The whole table takes seconds, so only rows that a choice rests on are run.
 func TestGroupRepair(t *testing.T) {
 	const downtime = 3
