group: a new controller takes nobody for lost whom it has not asked yet

A process that took the lease right after its start had no report of some servers, and replaced them at once. Silence now counts from Input.Started for a server that was never heard, and not at all when that is not known. A member that is no longer configured is treated as leaving, so its group drains. group.TestControllerStarts.

--- a/pkg/group/controller.go
+++ b/pkg/group/controller.go
@@ -42,6 +42,7 @@
 // Input is all that a decision depends on.
 type Input struct {
 	Now      time.Time
+	Started  time.Time // when this instance began to ask the servers; zero when that is not known
 	Self     placement.Process
 	Desired  []fleet.Group         // of this data centre; empty when it is drained
 	Servers  []fleet.BackendServer // of this data centre
--- a/pkg/group/controller_test.go
+++ b/pkg/group/controller_test.go
@@ -279,6 +279,22 @@
 	g.Expect(b.refused).To(BeEmpty())
 }
 
+// A new controller has not heard every server yet, and takes none for lost.
+func TestControllerStarts(t *testing.T) {
+	b := newBench(twoDomains(true), []fleet.Group{desired("g1", "s1", "s2")})
+	b.rounds(8)
+	before, _ := b.state.Group("g1")
+	b.input.Started = b.now
+	delete(b.input.Reports, "s2")
+	b.rounds(3)
+	g := NewWithT(t)
+	during, _ := b.state.Group("g1")
+	g.Expect(during.Epoch).To(Equal(before.Epoch))
+	b.rounds(10)
+	g.Expect(b.whole("g1")).To(Succeed())
+	wantMembers(t, b, "g1", "s1", "s3")
+}
+
 // A controller that hears almost nobody changes no group.
 func TestBlindController(t *testing.T) {
 	b := newBench(twoDomains(true), []fleet.Group{desired("g1", "s1", "s2")})
--- a/pkg/group/planner.go
+++ b/pkg/group/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 	"github.com/chicorystall/chicorystall/pkg/journal"
@@ -116,10 +117,26 @@
 	if p.in.Gone[server] {
 		return true
 	}
-	if _, ok := p.servers[server]; !ok {
-		return true
+	return !p.blind && p.silence(server) > p.lostAfter()
+}
+
+// silence returns how long the server was not heard. One that was never heard
+// is silent since this instance began to ask.
+func (p *planner) silence(server string) time.Duration {
+	heard := p.in.Started
+	if r, ok := p.in.Reports[server]; ok {
+		heard = r.At
 	}
-	return !p.blind && !p.in.Reports.fresh(server, p.in.Now, p.lostAfter())
+	if heard.IsZero() {
+		return 0
+	}
+	return p.in.Now.Sub(heard)
+}
+
+// leaving reports whether the server is about to stop, or no longer configured.
+func (p *planner) leaving(server string) bool {
+	_, configured := p.servers[server]
+	return p.in.Leaving[server] || !configured
 }
 
 // hearsFew reports whether less than half of the servers were heard.
@@ -143,7 +160,7 @@
 // usable reports whether the server can be given to a group.
 func (p *planner) usable(server string) bool {
 	s, ok := p.servers[server]
-	if !ok || s.Service != "" || p.taken[server] || p.in.Leaving[server] || p.apart(server) || p.lost(server) {
+	if !ok || s.Service != "" || p.taken[server] || p.leaving(server) || p.apart(server) || p.lost(server) {
 		return false
 	}
 	return p.in.Reports.fresh(server, p.in.Now, p.Check.maxAge())
--- a/pkg/group/repair.go
+++ b/pkg/group/repair.go
@@ -68,7 +68,7 @@
 		restarted := r.BootID != "" && r.BootID != m.BootID
 		unfit := p.lost(m.Name) || p.disobeyed(m, r)
 		dead = dead || unfit || restarted
-		if unfit || p.in.Leaving[m.Name] {
+		if unfit || p.leaving(m.Name) {
 			b.lost = append(b.lost, m.Name)
 			damaged = true
 			continue
@@ -77,7 +77,7 @@
 		b.held = b.held || p.apart(m.Name)
 		damaged = damaged || restarted || p.forgot(g, m, r)
 	}
-	if i := slices.IndexFunc(b.lost, func(n string) bool { return p.in.Leaving[n] }); i >= 0 && !dead {
+	if i := slices.IndexFunc(b.lost, p.leaving); i >= 0 && !dead {
 		b.leaving = b.lost[i]
 	}
 	return b, damaged
