--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -233,3 +233,35 @@
 	g.Expect(acquireAll(heard)).To(HaveLen(6))
 	g.Expect(acquireAll(ledgers[2:])).To(HaveLen(1), "the silent one keeps to what it knows")
 }
+
+// A member that skipped a table has settled for a later one, which says nothing
+// about the table that it skipped.
+func TestSettledForTheExactVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		disabled guard
+		want     int
+	}{
+		{name: "with the guard", want: 1},
+		{name: "without the guard", disabled: guardExact, want: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			members := someMembers(2)
+			limits := Limits{Version: 1, Backends: map[string]Limit{"s1": {InFlight: 1}}}
+			both := Table{Epoch: 2, Members: members}
+			newcomer, old := both.Order("s1")[0], both.Order("s1")[1]
+			ledgers := []*Ledger{{Self: newcomer, disabled: tt.disabled}, {Self: old, disabled: tt.disabled}}
+			for _, l := range ledgers {
+				l.Observe("s1", "b1")
+				l.MarkWarm("s1", "b1")
+				l.SetLimits(limits)
+			}
+			ledgers[1].SetTable(Table{Epoch: 1, Members: []Member{old}})
+			ledgers[0].SetTable(both)
+			ledgers[1].SetTable(Table{Epoch: 3, Members: []Member{old}, Former: []Member{newcomer}})
+			exchange(ledgers)
+			NewWithT(t).Expect(acquireAll(ledgers)).To(HaveLen(tt.want))
+		})
+	}
+}
--- a/pkg/limit/plan.go
+++ b/pkg/limit/plan.go
@@ -187,7 +187,10 @@
 	}
 }
 
-// shareOf returns the smallest share among the plans that bind.
+// shareOf returns the smallest share among the tables that bind, each with the
+// newest limits. A member that still follows other limits has, at any table, no
+// more than it had: shares never shrink when a limit grows, and a lowered limit
+// binds whoever has heard of it at once. So only a new table has to be waited for.
 func (l *Ledger) shareOf(a *account) Amount {
 	plans := l.binding
 	if !l.on(guardMinimum) && len(plans) > 0 {
@@ -196,20 +199,20 @@
 	if len(plans) == 0 {
 		return Amount{}
 	}
-	smallest := l.shareIn(plans[0], a)
+	smallest := l.shareIn(plans[0].table, a)
 	for _, p := range plans[1:] {
-		smallest = smallest.Min(l.shareIn(p, a))
+		smallest = smallest.Min(l.shareIn(p.table, a))
 	}
 	return smallest
 }
 
-func (l *Ledger) shareIn(p plan, a *account) Amount {
-	limit := p.limits.Backends[a.backend]
-	rank, ok := p.table.Rank(a.backend, l.Self)
+func (l *Ledger) shareIn(t Table, a *account) Amount {
+	limit := l.newest().limits.Backends[a.backend]
+	rank, ok := t.Rank(a.backend, l.Self)
 	if !ok {
 		return Amount{}
 	}
-	n := len(p.table.Members)
+	n := len(t.Members)
 	return Amount{
 		Requests: share(min(limit.InFlight, a.bears(limit)), n, rank),
 		Tokens:   share(limit.Tokens, n, rank),
