--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -95,7 +95,7 @@
 	DefaultBound      = 1.5
 	DefaultSpillShare = 0.5
 	DefaultMinMatch   = 1
-	DefaultSpillWork  = 500 * time.Millisecond
+	DefaultSpillWork  = 250 * time.Millisecond
 )
 
 // View is an immutable picture of groups, data centres and routes.
