--- /dev/null
+++ b/internal/measure/claims.go
@@ -0,0 +1,153 @@
+package measure
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/claim"
+	"github.com/google/uuid"
+)
+
+const (
+	claimInstances   = 9
+	claimMaxSpan     = 20 * time.Second
+	claimMaxRequests = 4000 // of one run
+	claimDrain       = 5 * time.Second
+	claimRun         = 20 * time.Millisecond // at the backend server
+	claimLogLatency  = 5 * time.Millisecond
+	claimLogInterval = 2500 * time.Microsecond // 400 appends a second, the ceiling of the log
+)
+
+// claimScheme is a way to claim keys.
+type claimScheme struct {
+	name   string
+	shards int
+	owner  bool    // a shard's requests all go to one entry instance
+	limit  float64 // appends a second of each instance, negative for any
+	single bool    // each record is an append of its own, with no wait
+}
+
+// ClaimBatching measures appends and the wait for a claim at several rates of
+// keyed requests. It runs in real time unless it is called in a synctest bubble.
+func ClaimBatching(seed uint64) Table {
+	t := Table{
+		Name: "claim batching", Seed: seed,
+		Columns: []string{"requests/s", "scheme", "appends/s", "p50", "p99", "refused"},
+		Note: fmt.Sprintf("%d entry instances; an append takes %v, the log takes one every %v; each request is a claim and a completion",
+			claimInstances, claimLogLatency, claimLogInterval),
+	}
+	schemes := []claimScheme{
+		{"no batching", 16, false, -1, true},
+		{"any instance, 16 shards", 16, false, -1, false},
+		{"any instance, 2 shards, limit", 2, false, claim.DefaultMaxAppends, false},
+		{"any instance, 1 shard, limit", 1, false, claim.DefaultMaxAppends, false},
+		{"one instance a shard, 4 shards", 4, true, -1, false},
+		{"one instance a shard, 2 shards", 2, true, -1, false},
+		{"one instance a shard, 1 shard", 1, true, -1, false},
+	}
+	for _, rate := range []int{1, 100, 1000} {
+		for _, scheme := range schemes {
+			t.Rows = append(t.Rows, runClaims(seed, rate, scheme))
+		}
+	}
+	return t
+}
+
+// claimRunState is one run of one scheme.
+type claimRunState struct {
+	claimScheme
+	log       *claimLog
+	claimants []*claim.Claimant
+	rand      *rand.Rand
+
+	mu      sync.Mutex
+	waits   []time.Duration
+	refused int
+}
+
+func runClaims(seed uint64, rate int, scheme claimScheme) []string {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &claimRunState{
+		claimScheme: scheme,
+		log:         newClaimLog(),
+		rand:        rand.New(rand.NewPCG(seed, 4)),
+	}
+	var running sync.WaitGroup
+	for n := range claimInstances {
+		c := &claim.Claimant{ID: claim.ClaimantID(fmt.Sprint(n)), Log: r.log.Log(), Shards: scheme.shards, MaxAppends: scheme.limit}
+		if scheme.single {
+			c.MaxDelay, c.MaxBatchBytes = -1, 1
+		}
+		r.claimants = append(r.claimants, c)
+		running.Go(func() { _ = c.Run(ctx) })
+	}
+	r.offer(ctx, rate)
+	time.Sleep(claimDrain)
+	appends := r.log.appends()
+	cancel()
+	running.Wait()
+	slices.Sort(r.waits)
+	span := float64(claimRequests(rate)) / float64(rate)
+	return []string{
+		fmt.Sprint(rate), scheme.name,
+		fmt.Sprintf("%.1f", float64(appends)/span),
+		claimQuantile(r.waits, 0.5), claimQuantile(r.waits, 0.99),
+		fmt.Sprintf("%.3f", float64(r.refused)/float64(r.refused+len(r.waits))),
+	}
+}
+
+// offer begins requests at random times and waits until all have ended.
+func (r *claimRunState) offer(ctx context.Context, rate int) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	for n := range claimRequests(rate) {
+		key := r.key(n)
+		c := r.claimants[r.rand.IntN(claimInstances)]
+		if r.owner {
+			c = r.claimants[key.Shard(r.shards)%claimInstances]
+		}
+		requests.Go(func() { r.request(ctx, c, key) })
+		time.Sleep(time.Duration(r.rand.ExpFloat64() / float64(rate) * float64(time.Second)))
+	}
+}
+
+func claimRequests(rate int) int {
+	return min(rate*int(claimMaxSpan/time.Second), claimMaxRequests)
+}
+
+func (r *claimRunState) key(n int) claim.Key {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(time.Now().UnixMilli())<<16|7<<12)
+	binary.BigEndian.PutUint64(id[8:], uint64(n)|1<<63)
+	return claim.Key{ClientAccount: "account", Service: "orders", ID: id}
+}
+
+func (r *claimRunState) request(ctx context.Context, c *claim.Claimant, key claim.Key) {
+	began := time.Now()
+	d, err := c.Begin(ctx, key, claim.Digest{})
+	r.mu.Lock()
+	if err != nil || d.Kind != claim.Run {
+		r.refused++
+	} else {
+		r.waits = append(r.waits, time.Since(began))
+	}
+	r.mu.Unlock()
+	if d.Grant == nil || d.Grant.Use() != nil {
+		return
+	}
+	time.Sleep(claimRun)
+	_ = d.Grant.Complete(ctx, claim.NewAnswer(201, nil, nil, []byte("accepted"), 1024))
+}
+
+func claimQuantile(sorted []time.Duration, q float64) string {
+	if len(sorted) == 0 {
+		return "-"
+	}
+	d := sorted[int(q*float64(len(sorted)-1))]
+	return d.Round(100 * time.Microsecond).String()
+}
--- a/pkg/claim/claimant.go
+++ b/pkg/claim/claimant.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/chicorystall/chicorystall/pkg/journal"
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 )
 
 // Defaults of Claimant.
@@ -20,6 +20,7 @@
 	DefaultPendingWait   = 5 * time.Second
 	DefaultAskInterval   = 200 * time.Millisecond
 	DefaultMaxBatchBytes = 256 << 10
+	DefaultMaxAppends    = 30
 )
 
 // ErrClaimantGone reports that a claimant has ended and will never tell more.
@@ -48,6 +49,7 @@
 	PendingWait   time.Duration // longest wait for another claimant's run to end
 	AskInterval   time.Duration // between two questions to a claimant
 	MaxBatchBytes int           // bytes of one append, by estimate
+	MaxAppends    float64       // appends a second over all shards, in a long run; negative means any
 
 	Window         time.Duration // as in Shard
 	SkewMargin     time.Duration // as in Shard
@@ -55,6 +57,7 @@
 	MaxAnswerBytes int           // bodies kept in memory, for all shards
 
 	mu      sync.Mutex
+	limiter *rate.Limiter // of appends; nil for none
 	runners map[int]*runner
 	spawn   func(*runner) // set while Run runs
 	stats   counters
@@ -65,6 +68,7 @@
 func (c *Claimant) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	c.mu.Lock()
+	c.limiter = newLimiter(orDefault(c.MaxAppends, DefaultMaxAppends))
 	c.spawn = func(r *runner) {
 		g.Go(func() error { return r.write(ctx) })
 		g.Go(func() error { return r.read(ctx) })
@@ -83,6 +87,23 @@
 	return g.Wait()
 }
 
+// limiterBurstDivisor sets the part of a second's appends that may go at once.
+const limiterBurstDivisor = 6
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond < 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond)/limiterBurstDivisor, 1))
+}
+
+// awaitAppend waits until the limit allows one more append.
+func (c *Claimant) awaitAppend(ctx context.Context) {
+	if c.limiter != nil {
+		_ = c.limiter.Wait(ctx) // fails only when ctx ends, which ends the append too
+	}
+}
+
 // Follow starts to read the key's stream, so that a later Begin finds it read.
 func (c *Claimant) Follow(key Key) { c.runner(key) }
 
--- a/pkg/claim/key.go
+++ b/pkg/claim/key.go
@@ -10,8 +10,9 @@
 	"github.com/google/uuid"
 )
 
-// DefaultShards is the number of claim streams when none is set.
-const DefaultShards = 16
+// DefaultShards is the number of claim streams when none is set. Each stream
+// takes one append at a time, so more streams mean smaller batches.
+const DefaultShards = 2
 
 const (
 	keyTextBytes = 36 // canonical form with hyphens
--- a/pkg/claim/runner.go
+++ b/pkg/claim/runner.go
@@ -134,6 +134,7 @@
 	select {
 	case <-r.wake:
 		sleep(ctx, r.maxDelay())
+		r.c.awaitAppend(ctx)
 	case <-ctx.Done():
 	}
 }
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -281,7 +281,7 @@
 	}
 }
 
-func orDefault[T int | time.Duration](v, def T) T {
+func orDefault[T int | float64 | time.Duration](v, def T) T {
 	if v == 0 {
 		return def
 	}
