--- /dev/null
+++ b/internal/measure/list.go
@@ -0,0 +1,30 @@
+package measure
+
+// Measure is one measurement that can be run by its name.
+type Measure struct {
+	Name string
+	Help string // one line
+	Run  func(seed uint64) Table
+}
+
+// List returns all measurements.
+func List() []Measure {
+	return []Measure{
+		{"limits-cold-start", "requests that cold backend servers get, against plain full limits", LimitsColdStart},
+		{"membership", "bytes and detection time of liveness, against a full mesh of heartbeats", Membership},
+		{"retries", "goodput and retries under overload and a stall, against plain retries", Retries},
+		{"routing", "first token and cache hits, against round robin and least loaded", Routing},
+		{"routing-fairness", "the smallest account's first token during a flood, against one queue", RoutingFairness},
+		{"routing-data-centre", "service while a data centre is away, against static shares; simulated", RoutingDataCentre},
+	}
+}
+
+// Find returns the measurement with the name.
+func Find(name string) (Measure, bool) {
+	for _, m := range List() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Measure{}, false
+}
