measure: what an entry instance adds to a direct call

The cost of the path was not known. 'path' asks a model worker directly and through an entry instance in one process; what the direct calls use is taken off.

--- a/internal/measure/list.go
+++ b/internal/measure/list.go
@@ -13,6 +13,7 @@
 		{"limits-cold-start", "requests that cold backend servers get, against plain full limits", LimitsColdStart},
 		{"membership", "bytes and detection time of liveness, against a full mesh of heartbeats", Membership},
 		{"retries", "goodput and retries under overload and a stall, against plain retries", Retries},
+		{"path", "what an entry instance adds to a direct call of a model worker", Path},
 		{"routing", "first token and cache hits, against round robin and least loaded", Routing},
 		{"routing-fairness", "the smallest account's first token during a flood, against one queue", RoutingFairness},
 		{"routing-data-centre", "service while a data centre is away, against static shares; simulated", RoutingDataCentre},
--- /dev/null
+++ b/internal/measure/path_deployment.go
@@ -0,0 +1,122 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chicorystall/chicorystall/internal/deployment"
+)
+
+const (
+	// startTimeout bounds the wait until all groups of a deployment serve.
+	startTimeout = 25 * time.Second
+	// askTimeout bounds one request of a measurement.
+	askTimeout = 30 * time.Second
+)
+
+// startDeployment starts a deployment on loopback and waits until it serves.
+func startDeployment(plan deployment.Plan) (*deployment.Deployment, error) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.PanicLevel)
+	d, err := deployment.Start(context.Background(), plan, logger)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := d.Await(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+// failed is the table of a measurement that could not run.
+func failed(name string, seed uint64, err error) Table {
+	return Table{Name: name, Seed: seed, Note: "not measured: " + err.Error()}
+}
+
+// streamed is what a caller saw of one streamed answer.
+type streamed struct {
+	First  time.Duration // until the first token
+	Whole  time.Duration
+	Chunks int
+}
+
+// errCut reports an answer without its end mark.
+var errCut = errors.New("answer ended without its end mark")
+
+// ask sends one streamed completion and reads its whole answer.
+func ask(client *http.Client, address, prompt string, tokens int) (streamed, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	begun := time.Now()
+	response, err := openStream(ctx, client, address, prompt, tokens)
+	if err != nil {
+		return streamed{}, err
+	}
+	defer response.Body.Close()
+	var got streamed
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		switch {
+		case !isData:
+		case string(data) == "[DONE]":
+			got.Whole = time.Since(begun)
+			return got, nil
+		default:
+			if got.Chunks == 0 {
+				got.First = time.Since(begun)
+			}
+			got.Chunks++
+		}
+	}
+	return got, errCut
+}
+
+// openStream begins a streamed completion at an entry instance or a model worker.
+func openStream(ctx context.Context, client *http.Client, address, prompt string, tokens int) (*http.Response, error) {
+	body, err := json.Marshal(map[string]any{
+		"model": deployment.Model, "prompt": prompt, "max_tokens": tokens, "stream": true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+deployment.AccountKey(deployment.AccountName(0)))
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		response.Body.Close()
+		return nil, errors.Newf("status %d of %s: %s", response.StatusCode, address, text)
+	}
+	return response, nil
+}
+
+// newCaller returns a client that keeps a connection for each of so many callers.
+func newCaller(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}}
+}
+
+// milliseconds formats a duration for a table.
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.3f ms", float64(d)/float64(time.Millisecond))
+}
