measure: cost of control for one entry instance, with slopes

What control costs was not known. One entry instance runs as a process of its own and the kernel counts its processor time, bytes and writes; a process that polls all others is the baseline. Lines are fitted over four sizes.

--- a/cmd/chicorystall-measure/main.go
+++ b/cmd/chicorystall-measure/main.go
@@ -16,6 +16,8 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/chicorystall/chicorystall/internal/measure"
 )
 
 // Exit codes.
@@ -35,6 +37,7 @@
 }
 
 func main() {
+	measure.RunChild()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
--- a/internal/measure/list.go
+++ b/internal/measure/list.go
@@ -10,6 +10,11 @@
 // List returns all measurements.
 func List() []Measure {
 	return []Measure{
+		{"control-cost-entries", "what control costs one entry instance, by entry instances in the data centre", ControlCostEntries},
+		{"control-cost-servers", "the same by model workers in the data centre", ControlCostServers},
+		{"control-cost-groups", "the same by groups in the data centre", ControlCostGroups},
+		{"control-cost-data-centres", "the same by data centres", ControlCostDataCentres},
+		{"control-cost-target", "the same in a data centre of 72 entry instances and 168 model workers", ControlCostTarget},
 		{"limits-cold-start", "requests that cold backend servers get, against plain full limits", LimitsColdStart},
 		{"membership", "bytes and detection time of liveness, against a full mesh of heartbeats", Membership},
 		{"retries", "goodput and retries under overload and a stall, against plain retries", Retries},
