measure: time from a change to its being in force everywhere

'in-force' times a change from its record on the log to each entry instance of three data centres, beside instances that ask every second.

--- a/internal/measure/list.go
+++ b/internal/measure/list.go
@@ -15,6 +15,7 @@
 		{"control-cost-groups", "the same by groups in the data centre", ControlCostGroups},
 		{"control-cost-data-centres", "the same by data centres", ControlCostDataCentres},
 		{"control-cost-target", "the same in a data centre of 72 entry instances and 168 model workers", ControlCostTarget},
+		{"in-force", "time from a change to its being in force everywhere, against asking every second", InForce},
 		{"limits-cold-start", "requests that cold backend servers get, against plain full limits", LimitsColdStart},
 		{"membership", "bytes and detection time of liveness, against a full mesh of heartbeats", Membership},
 		{"retries", "goodput and retries under overload and a stall, against plain retries", Retries},
