--- a/pkg/placement/oracle_test.go
+++ b/pkg/placement/oracle_test.go
@@ -29,9 +29,13 @@
 }
 
 // wantViolation passes when the property fails, which it has to do with a guard
-// switched off.
+// switched off. It searches for longer than a check that has to pass.
 func wantViolation(t *testing.T, prop func(*rapid.T)) {
 	t.Helper()
+	checks := flag.Lookup("rapid.checks")
+	usual := checks.Value.String()
+	_ = checks.Value.Set("5000")
+	defer func() { _ = checks.Value.Set(usual) }()
 	r := &recorder{T: t}
 	done := make(chan struct{})
 	go func() {
