queue: the service rate is learned only while something waits

Under a light load the observed rate was the callers' own, far below what the backend servers can do, so a burst would have been refused by deadline.

--- a/pkg/queue/estimate.go
+++ b/pkg/queue/estimate.go
@@ -3,10 +3,13 @@
 import "time"
 
 // Served notes that the backend servers behind the queue have finished work of
-// so much cost. It keeps the estimate of the service rate.
+// so much cost. It keeps the estimate of the service rate, from times in which
+// something waited throughout: otherwise the callers set the rate.
 func (q *Queue) Served(now time.Time, cost int) {
-	if q.windowAt.IsZero() {
+	if q.windowAt.IsZero() || q.entries == 0 {
 		q.windowAt = now
+		q.served = 0
+		return
 	}
 	q.served += float64(cost)
 	elapsed := now.Sub(q.windowAt)
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -193,9 +193,18 @@
 func TestRateFollowsCompletions(t *testing.T) {
 	g := NewWithT(t)
 	q := Queue{Config: Config{Rate: 1000}}
-	for i := range 400 {
-		q.Served(start.Add(time.Duration(i)*100*time.Millisecond), 50)
+	complete := func(from, n int) {
+		for i := range n {
+			q.Served(start.Add(time.Duration(from+i)*100*time.Millisecond), 50)
+		}
 	}
+	complete(0, 400)
+	g.Expect(q.Rate()).To(Equal(1000.0), "nothing waited")
+	q.Push(start, Entry{ID: 1, Cost: 1})
+	complete(400, 400)
+	g.Expect(q.Rate()).To(BeNumerically("~", 500, 30))
+	q.Pop()
+	complete(5000, 400)
 	g.Expect(q.Rate()).To(BeNumerically("~", 500, 30))
 }
 
