--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -146,6 +146,36 @@
 	}
 }
 
+func TestTakePassesOnlyOtherKeys(t *testing.T) {
+	tests := []struct {
+		name string
+		full string // key without a place
+		want []uint64
+	}{
+		{name: "places for all", want: []uint64{1, 2, 3, 4}},
+		{name: "none for the first", full: "a", want: []uint64{2}},
+		{name: "none for the second", full: "b", want: []uint64{1, 3, 4}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var q Queue
+			for id, key := range []string{"a", "b", "a", "a"} {
+				q.Push(start, Entry{ID: uint64(id + 1), Key: key, Cost: 1, Priority: id / 3})
+			}
+			var got []uint64
+			for {
+				e, ok := q.Take(func(e Entry) bool { return e.Key != tt.full })
+				if !ok {
+					break
+				}
+				got = append(got, e.ID)
+			}
+			NewWithT(t).Expect(got).To(Equal(tt.want))
+			NewWithT(t).Expect(q.Len()).To(Equal(4 - len(got)))
+		})
+	}
+}
+
 func TestDeadlines(t *testing.T) {
 	g := NewWithT(t)
 	q := Queue{Config: Config{Rate: 100}}
@@ -163,9 +193,18 @@
 func TestRateFollowsCompletions(t *testing.T) {
 	g := NewWithT(t)
 	q := Queue{Config: Config{Rate: 1000}}
-	for i := range 400 {
-		q.Served(start.Add(time.Duration(i)*100*time.Millisecond), 50)
+	complete := func(from, n int) {
+		for i := range n {
+			q.Served(start.Add(time.Duration(from+i)*100*time.Millisecond), 50)
+		}
 	}
+	complete(0, 400)
+	g.Expect(q.Rate()).To(Equal(1000.0), "nothing waited")
+	q.Push(start, Entry{ID: 1, Cost: 1})
+	complete(400, 400)
+	g.Expect(q.Rate()).To(BeNumerically("~", 500, 30))
+	q.Pop()
+	complete(5000, 400)
 	g.Expect(q.Rate()).To(BeNumerically("~", 500, 30))
 }
 
