--- a/internal/measure/path_deployment.go
+++ b/internal/measure/path_deployment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -120,3 +121,11 @@
 func milliseconds(d time.Duration) string {
 	return fmt.Sprintf("%.3f ms", float64(d)/float64(time.Millisecond))
 }
+
+// sortedTimes are times that are sorted when one is asked for.
+type sortedTimes []time.Duration
+
+func (s sortedTimes) at(share float64) time.Duration {
+	slices.Sort(s)
+	return at(s, share)
+}
