--- a/internal/measure/model_fleet.go
+++ b/internal/measure/model_fleet.go
@@ -24,12 +24,15 @@
 
 // modelPolicy is what a run of the model compares.
 type modelPolicy struct {
-	name       string
-	roundRobin bool // with static shares; otherwise shares that are lent
-	noAffinity bool
-	fifo       bool // one queue for all client accounts
-	noRamp     bool // a cold backend server is given its whole limit
-	bound      float64
+	name         string
+	roundRobin   bool // with static shares; otherwise shares that are lent
+	noAffinity   bool
+	fifo         bool // one queue for all client accounts
+	noRamp       bool // a cold backend server is given its whole limit
+	noNotice     bool // cold start is only seen by a new boot ID
+	reportOnly   bool // cold start is not seen by latency
+	latencyAlone bool // a slow server counts as cold without asking it
+	bound        float64
 }
 
 var (
@@ -59,6 +62,7 @@
 	entries    []*modelEntry
 	servers    []*modelServer
 	room       int // last summary
+	work       time.Duration
 	roomAt     time.Duration
 }
 
@@ -177,14 +181,7 @@
 	if !s.up {
 		return
 	}
-	r := modelReport{at: f.clock.now, requests: s.holds(), warm: s.bears() == serverBatch, boot: s.bootID()}
-	for _, q := range append(s.waiting, s.running...) {
-		if q.prefill > 0 {
-			r.pending += q.prefill
-		} else if q.made == 0 {
-			r.pending += q.prompt
-		}
-	}
+	r := modelReport{at: f.clock.now, requests: s.holds(), warm: s.bears() == serverBatch, boot: s.bootID(), pending: s.pending(), speed: s.speed()}
 	s.events++
 	ev := route.Event{Boot: s.bootID(), Seq: s.events, Stored: s.stored, Removed: s.removed}
 	s.stored, s.removed = nil, nil
@@ -200,14 +197,17 @@
 	if dc.lost {
 		return
 	}
-	room := 0
+	room, up := 0, 0
+	var work time.Duration
 	for _, s := range dc.servers {
 		if s.up {
+			up++
 			room += max(s.bears()-s.holds(), 0)
+			work += time.Duration(s.pending()) * time.Second / time.Duration(s.speed())
 		}
 	}
 	at := f.clock.now
-	f.clock.after(reportEvery/2, func() { dc.room, dc.roomAt = room, at })
+	f.clock.after(reportEvery/2, func() { dc.room, dc.roomAt, dc.work = room, at, work/time.Duration(max(up, 1)) })
 }
 
 func (f *modelFleet) dc(name string) *modelDC {
--- a/pkg/journal/follower.go
+++ b/pkg/journal/follower.go
@@ -32,9 +32,15 @@
 
 // PeerState is the newest state that other instances hold.
 type PeerState struct {
-	Offset   Offset
-	Data     []byte // snapshot of the state at Offset
-	Complete bool   // every other listed instance answered
+	Offset Offset
+	Data   []byte // snapshot of the state at Offset
+	// Complete means that every other instance on the platform's list answered,
+	// also those that do not send heartbeats. Without it lost entries are not
+	// skipped.
+	Complete bool
+	// NoneReady means that no instance that answered is ready itself. Its state
+	// is taken, but does not make the follower ready.
+	NoneReady bool
 }
 
 // Follower folds one stream into a state that the caller holds. Apply, Restore
@@ -68,17 +74,18 @@
 	Now       func() time.Time // nil stands for time.Now
 	Jitter    func() float64   // in [0,1), nil stands for math/rand
 
-	mu        sync.Mutex
-	status    Status    // but for Behind and Since, which Status computes
-	awaySince time.Time // when reads of the log began to fail, zero while they work
-	peerEnd   time.Time // when a peer at the log's end last handed its entries over
-	newest    time.Time // log's time of the newest valid snapshot, or of the first entry
-	entries   int       // folded since the newest valid snapshot
-	spread    float64   // in [0,1), share by which this instance waits longer
-	tried     time.Time // when this instance last tried to write a snapshot
-	writeBack bool      // the log has no usable snapshot, so write one whoever is due
-	skipLost  bool      // an operator said that nobody holds the lost entries' state
-	disabled  guardSet
+	mu         sync.Mutex
+	status     Status    // but for Behind and Since, which Status computes
+	awaySince  time.Time // when reads of the log began to fail, zero while they work
+	peerEnd    time.Time // when a peer at the log's end last handed its entries over
+	newest     time.Time // log's time of the newest valid snapshot, or of the first entry
+	snapshotAt Offset    // of the newest valid snapshot
+	entries    int       // folded since the newest valid snapshot
+	spread     float64   // in [0,1), share by which this instance waits longer
+	tried      time.Time // when this instance last tried to write a snapshot
+	writeBack  bool      // the log no longer gives the state, so write it whoever is due
+	skipLost   bool      // an operator said that nobody holds the lost entries' state
+	disabled   guardSet
 }
 
 // guardSet are the checks that tests switch off to see that they matter.
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -192,3 +194,74 @@
 	// b sends 2
 	// b backend server "w1" has no share left: 1 requests and 0 tokens are missing
 }
+
+func TestDetector(t *testing.T) {
+	const usual, slow = 40 * time.Millisecond, 120 * time.Millisecond
+	tests := []struct {
+		name    string
+		between []time.Duration
+		want    int // verdicts
+	}{
+		{name: "usual", between: slices.Repeat([]time.Duration{usual}, 100)},
+		{name: "a few slow ones", between: slices.Repeat([]time.Duration{usual, slow, slow, slow}, 50)},
+		{name: "cold", between: append(slices.Repeat([]time.Duration{usual}, 50), slices.Repeat([]time.Duration{slow}, DefaultColdStrikes)...), want: 1},
+		{name: "always slow", between: slices.Repeat([]time.Duration{slow}, 100)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d Detector
+			verdicts := 0
+			for _, between := range tt.between {
+				if d.Observe(between) {
+					verdicts++
+				}
+			}
+			NewWithT(t).Expect(verdicts).To(Equal(tt.want))
+		})
+	}
+}
+
+func TestGrownLimitsNeedNoWord(t *testing.T) {
+	g := NewWithT(t)
+	ledgers := fleetOf(3, Limit{InFlight: 3, ColdInFlight: 3})
+	heard := ledgers[:2] // the third one is silent
+	for _, l := range heard {
+		l.SetLimits(Limits{Version: 2, Backends: map[string]Limit{"s1": {InFlight: 9, ColdInFlight: 9}}})
+		l.MarkWarm("s1", "b1")
+	}
+	exchange(heard)
+	g.Expect(acquireAll(heard)).To(HaveLen(6))
+	g.Expect(acquireAll(ledgers[2:])).To(HaveLen(1), "the silent one keeps to what it knows")
+}
+
+// A member that skipped a table has settled for a later one, which says nothing
+// about the table that it skipped.
+func TestSettledForTheExactVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		disabled guard
+		want     int
+	}{
+		{name: "with the guard", want: 1},
+		{name: "without the guard", disabled: guardExact, want: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			members := someMembers(2)
+			limits := Limits{Version: 1, Backends: map[string]Limit{"s1": {InFlight: 1}}}
+			both := Table{Epoch: 2, Members: members}
+			newcomer, old := both.Order("s1")[0], both.Order("s1")[1]
+			ledgers := []*Ledger{{Self: newcomer, disabled: tt.disabled}, {Self: old, disabled: tt.disabled}}
+			for _, l := range ledgers {
+				l.Observe("s1", "b1")
+				l.MarkWarm("s1", "b1")
+				l.SetLimits(limits)
+			}
+			ledgers[1].SetTable(Table{Epoch: 1, Members: []Member{old}})
+			ledgers[0].SetTable(both)
+			ledgers[1].SetTable(Table{Epoch: 3, Members: []Member{old}, Former: []Member{newcomer}})
+			exchange(ledgers)
+			NewWithT(t).Expect(acquireAll(ledgers)).To(HaveLen(tt.want))
+		})
+	}
+}
