--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	controlStart  = 40 * time.Second        // longest wait until all groups serve
 	controlSettle = 1500 * time.Millisecond // from serving to the first reading
 	controlWindow = 3 * time.Second
 	pollWindow    = 1500 * time.Millisecond
@@ -47,7 +48,7 @@
 // measureControl starts a deployment, one entry instance of which is a process of
 // its own, and reads what the kernel counts of that process.
 func measureControl(size controlSize, window time.Duration) (controlCost, error) {
-	d, err := startDeployment(controlPlan(size))
+	d, err := startWithin(controlPlan(size), controlStart)
 	if err != nil {
 		return controlCost{}, err
 	}
