--- a/internal/measure/path_deployment.go
+++ b/internal/measure/path_deployment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,10 @@
 
 // startDeployment starts a deployment on loopback and waits until it serves.
 func startDeployment(plan deployment.Plan) (*deployment.Deployment, error) {
+	return startWithin(plan, startTimeout)
+}
+
+func startWithin(plan deployment.Plan, timeout time.Duration) (*deployment.Deployment, error) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	logger.SetLevel(logrus.PanicLevel)
@@ -32,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := d.Await(ctx); err != nil {
 		d.Stop()
@@ -43,7 +48,9 @@
 
 // failed is the table of a measurement that could not run.
 func failed(name string, seed uint64, err error) Table {
-	return Table{Name: name, Seed: seed, Note: "not measured: " + err.Error()}
+	const maxText = 300
+	text := err.Error()
+	return Table{Name: name, Seed: seed, Note: "not measured: " + text[:min(len(text), maxText)]}
 }
 
 // streamed is what a caller saw of one streamed answer.
@@ -120,3 +127,11 @@
 func milliseconds(d time.Duration) string {
 	return fmt.Sprintf("%.3f ms", float64(d)/float64(time.Millisecond))
 }
+
+// sortedTimes are times that are sorted when one is asked for.
+type sortedTimes []time.Duration
+
+func (s sortedTimes) at(share float64) time.Duration {
+	slices.Sort(s)
+	return at(s, share)
+}
