entry: loans only for requests that found no room, cold start by report

The wiring asked for a waiting loan whenever one choice had no room, although the request then found another, so lenders kept room for borrowers that no longer wanted it. With that mended, cold workers fell over: the level doubled by completions while the engine still said that it is cold. Change: a place and a loan are asked for only when all choices are full; only a member without a share of its own waits at a lender; a backend server that reports itself cold keeps its level until it reports that it is warm. Open: with a limit of 2 and 4 senders a request waited until its deadline (TestBurstOnColdGroups fails there); its cause is looked for next.

--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -17,6 +17,16 @@
 // Call sends a message to a member and returns its answer.
 type Call func(ctx context.Context, to limit.Member, message []byte) ([]byte, error)
 
+// Warmth is what a backend server says of its cold start.
+type Warmth int
+
+// Kinds of warmth.
+const (
+	Unreported Warmth = iota
+	Cold
+	Warm
+)
+
 // Book is the ledger of one entry instance with its messages.
 type Book struct {
 	call  Call
@@ -69,15 +79,18 @@
 	})
 }
 
-// Observe notes the boot ID that a backend server told, and whether it says that
-// it is warm.
-func (b *Book) Observe(ctx context.Context, backend, boot string, warm bool) {
+// Observe notes the boot ID that a backend server told, and what it says of its
+// cold start.
+func (b *Book) Observe(ctx context.Context, backend, boot string, warmth Warmth) {
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
 		if l.Boot(backend) != boot {
 			l.Observe(backend, boot)
 		}
-		if warm {
+		switch warmth {
+		case Warm:
 			return l.MarkWarm(backend, boot)
+		case Cold:
+			l.MarkReportedCold(backend, boot)
 		}
 		return limit.Outbox{}
 	})
@@ -119,17 +132,28 @@
 	return b.ledger.Activated()
 }
 
-// TryAcquire takes a permit that needs no loan. After a refusal a loan is asked
-// for in the background, and Freed tells when it is worth another try.
+// TryAcquire takes a permit if this member has room for it now.
 func (b *Book) TryAcquire(ctx context.Context, backend string, tokens int) (limit.Permit, bool) {
 	permit, refused := b.acquire(backend, tokens)
 	if refused == nil {
 		return permit, true
 	}
-	b.askLater(ctx, backend, refused)
+	b.abandon(ctx, backend)
 	return limit.Permit{}, false
 }
 
+// AskFor takes a place among those who wait for the backend server, for a request
+// that found no room, and asks for a loan in the background. Freed tells when it
+// is worth another try.
+func (b *Book) AskFor(ctx context.Context, backend string, tokens int) {
+	permit, refused := b.acquire(backend, tokens)
+	if refused == nil {
+		b.Release(ctx, permit, false)
+		return
+	}
+	b.askLater(ctx, backend, refused)
+}
+
 // Acquire takes a permit, with a loan of other members when that is needed. It
 // does not wait for one to become free: then the error is a *limit.Refusal.
 func (b *Book) Acquire(ctx context.Context, backend string, tokens int) (limit.Permit, error) {
@@ -172,7 +196,9 @@
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Abandon(backend) })
 }
 
-// askLater asks the best lender for a loan, one at a time for a backend server.
+// askLater asks for a loan in the background, once at a time for a backend
+// server. Only a member without a share of its own waits at a lender: what waits
+// there keeps the lender's own requests back.
 func (b *Book) askLater(ctx context.Context, backend string, refused *limit.Refusal) {
 	if refused.Missing.IsZero() || len(refused.Lenders) == 0 {
 		return
@@ -185,18 +211,27 @@
 		return
 	}
 	go func() {
-		for i, lender := range refused.Lenders {
-			last := i == len(refused.Lenders)-1 || i == lendersAsked-1
-			if b.borrow(ctx, backend, lender, refused.Missing, last) || last {
-				break
-			}
-		}
+		b.askLenders(ctx, backend, refused)
 		b.mu.Lock()
 		delete(b.asking, backend)
 		b.mu.Unlock()
 	}()
 }
 
+func (b *Book) askLenders(ctx context.Context, backend string, refused *limit.Refusal) {
+	b.mu.Lock()
+	wait := b.ledger.Share(backend).Requests == 0
+	b.mu.Unlock()
+	for _, lender := range refused.Lenders[:min(lendersAsked, len(refused.Lenders))] {
+		if b.borrow(ctx, backend, lender, refused.Missing, false) {
+			return
+		}
+	}
+	if wait {
+		b.borrow(ctx, backend, refused.Lenders[0], refused.Missing, true)
+	}
+}
+
 // borrow asks one lender and reports whether a loan came that can be used. With
 // wait set the lender may reply later.
 func (b *Book) borrow(ctx context.Context, backend string, lender limit.Member, amount limit.Amount, wait bool) bool {
--- a/internal/entry/datacentres.go
+++ b/internal/entry/datacentres.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorystall/chicorystall/internal/membership"
 	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
+	"github.com/chicorystall/chicorystall/internal/platform"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 	"github.com/chicorystall/chicorystall/pkg/placement"
 	"github.com/chicorystall/chicorystall/pkg/route"
@@ -29,6 +30,8 @@
 	leaving  map[string]bool      // backend servers
 	gone     map[string]bool      // backend servers
 	ended    []placement.Process  // entry instances that are listed as gone
+	listed   []platform.Instance  // live entry instances
+	heard    bool                 // the platform's list was read once
 	opened   map[string]time.Time // when a data centre was first seen open again
 	overrule map[string]override  // told to this instance directly
 	spilled  map[string]int       // requests forwarded since the last report
@@ -56,6 +59,21 @@
 	return slices.Contains(f.ended, process)
 }
 
+// listedAddresses returns the addresses of the entry instances that the platform
+// lists as live, and whether the list is known. With own set, only those of the
+// data centre.
+func (f *fleetList) listedAddresses(own bool, dataCentre string) ([]string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, instance := range f.listed {
+		if !own || instance.DataCentre == dataCentre {
+			addresses = append(addresses, instance.Address)
+		}
+	}
+	return addresses, f.heard
+}
+
 // drained reports whether operators took the data centre out.
 func (s *Server) drained(dc fleet.DataCentre) bool {
 	s.fleet.mu.Lock()
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -8,7 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chicorystall/chicorystall/internal/backend"
+	"github.com/chicorystall/chicorystall/internal/capacity"
 	"github.com/chicorystall/chicorystall/internal/engine"
+	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 	"github.com/chicorystall/chicorystall/pkg/group"
 	"github.com/chicorystall/chicorystall/pkg/journal"
@@ -52,7 +54,14 @@
 	if o.Loading {
 		return
 	}
-	s.book.Observe(ctx, o.Server, o.BootID, o.Warm)
+	warmth := capacity.Unreported
+	switch {
+	case o.Warm:
+		warmth = capacity.Warm
+	case o.Cold:
+		warmth = capacity.Cold
+	}
+	s.book.Observe(ctx, o.Server, o.BootID, warmth)
 }
 
 // noteCached notes that a prompt will be in a backend server's prefix cache.
@@ -154,41 +163,58 @@
 	return slices.Compact(models)
 }
 
-// peerState returns the newest state of a stream that other instances hold.
+// peerState returns the newest state of a stream that other instances hold. It
+// is complete only when all that the platform lists have answered.
 func (s *Server) peerState(ctx context.Context, stream string, above journal.Offset) (journal.PeerState, error) {
-	newest := journal.PeerState{Complete: true}
-	for _, address := range s.members.Addresses(stream == placement.Stream(s.settings.DataCentre)) {
-		offset, snapshot, err := s.peers.FetchState(ctx, address, stream, int64(max(above, newest.Offset)))
+	own := stream == placement.Stream(s.settings.DataCentre)
+	listed, known := s.fleet.listedAddresses(own, s.settings.DataCentre)
+	newest := journal.PeerState{Complete: known, NoneReady: true}
+	for _, address := range union(s.members.Addresses(own), listed) {
+		if address == s.settings.PeersAddress {
+			continue
+		}
+		state, err := s.peers.FetchState(ctx, address, stream, int64(max(above, newest.Offset)))
 		if err != nil {
-			newest.Complete = false
+			newest.Complete = newest.Complete && !slices.Contains(listed, address)
 			continue
 		}
-		if journal.Offset(offset) > newest.Offset {
-			newest.Offset, newest.Data = journal.Offset(offset), snapshot
+		newest.NoneReady = newest.NoneReady && !state.GetReady()
+		if offset := journal.Offset(state.GetOffset()); offset > newest.Offset {
+			newest.Offset, newest.Data = offset, state.GetSnapshot()
 		}
 	}
 	return newest, nil
 }
 
+// union returns the addresses of both lists, each once.
+func union(a, b []string) []string {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // fetchState answers another instance that asks for the state of a stream.
-func (s *Server) fetchState(_ context.Context, stream string, after int64) (int64, []byte, error) {
+func (s *Server) fetchState(_ context.Context, stream string, after int64) (*peerpb.FetchStateReply, error) {
 	switch stream {
 	case configStream:
 		state := s.config.State()
-		if int64(state.Offset()) <= after {
-			return int64(state.Offset()), nil, nil
-		}
-		snapshot, err := state.Encode()
-		return int64(state.Offset()), snapshot, err
+		return stateReply(s.config.Status().Ready, state.Offset(), after, state.Encode)
 	case s.placement.Stream():
 		state := s.placement.State()
-		if int64(state.Offset()) <= after {
-			return int64(state.Offset()), nil, nil
-		}
-		snapshot, err := state.Snapshot()
-		return int64(state.Offset()), snapshot, err
+		return stateReply(s.placement.Status().Ready, state.Offset(), after, state.Snapshot)
+	}
+	return &peerpb.FetchStateReply{}, nil
+}
+
+// stateReply holds a snapshot only when it is newer than what the asker has.
+func stateReply(ready bool, offset journal.Offset, after int64, snapshot func() ([]byte, error)) (*peerpb.FetchStateReply, error) {
+	reply := &peerpb.FetchStateReply{Offset: int64(offset), Ready: ready}
+	if int64(offset) <= after {
+		return reply, nil
 	}
-	return 0, nil, nil
+	var err error
+	reply.Snapshot, err = snapshot()
+	return reply, err
 }
 
 // writesSnapshots reports whether this instance writes the next snapshot.
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/chicorystall/chicorystall/internal/capacity"
 	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
 	"github.com/chicorystall/chicorystall/internal/platform"
 	"github.com/chicorystall/chicorystall/pkg/limit"
@@ -160,7 +161,7 @@
 func (s *Server) openServices(ctx context.Context) {
 	for _, server := range s.config.State().Config().BackendServers {
 		if server.DataCentre == s.settings.DataCentre && server.Service != "" {
-			s.book.Observe(ctx, server.Name, serviceBoot, true)
+			s.book.Observe(ctx, server.Name, serviceBoot, capacity.Warm)
 		}
 	}
 }
@@ -204,6 +205,7 @@
 	leaving := make(map[string]bool)
 	gone := make(map[string]bool)
 	var ended []placement.Process
+	var listed []platform.Instance
 	for _, instance := range list.Instances {
 		switch {
 		case instance.Kind == platform.Backend:
@@ -213,6 +215,7 @@
 			ended = append(ended, placement.Process{Name: instance.Name, BootID: instance.BootID})
 			s.members.Forget(instance.Name)
 		case instance.Name != s.settings.Name:
+			listed = append(listed, instance)
 			s.members.Add(&peerpb.Instance{
 				Name:       instance.Name,
 				DataCentre: instance.DataCentre,
@@ -225,4 +228,5 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	s.fleet.leaving, s.fleet.gone, s.fleet.ended = leaving, gone, ended
+	s.fleet.listed, s.fleet.heard = listed, true
 }
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -113,6 +113,7 @@
 // the queue is of no use.
 func (s *Server) tryPlace(ctx context.Context, ask *route.Request) (placed, *route.Refusal, bool) {
 	look := *ask
+	first := ""
 	for range choicesPerTry {
 		now := s.picture()
 		decision, refused := now.view.Choose(&look)
@@ -120,25 +121,36 @@
 			return placed{}, refused, false
 		}
 		if refused != nil {
-			return placed{}, nil, false
+			break
 		}
 		if decision.DataCentre != s.settings.DataCentre {
 			return placed{Decision: decision}, nil, true
 		}
 		permit, ok := s.book.TryAcquire(ctx, decision.Backend, ask.Tokens())
 		if ok {
-			s.sent.note(decision.Backend, func(sent *route.Sent) {
-				sent.Requests++
-				sent.PendingTokens += ask.PromptTokens - decision.CachedTokens
-			})
-			return placed{Decision: decision, Permit: permit, Ticket: now.tickets[decision.Group]}, nil, true
+			return s.taken(ask, decision, permit, now.tickets[decision.Group]), nil, true
+		}
+		if first == "" {
+			first = decision.Backend
 		}
 		look.Avoid = decision.Backend
 		look.Random = rand.Uint64()
 	}
+	if first != "" {
+		s.book.AskFor(ctx, first, ask.Tokens())
+	}
 	return placed{}, nil, false
 }
 
+// taken notes that a request has a place at a backend server.
+func (s *Server) taken(ask *route.Request, decision route.Decision, permit limit.Permit, ticket group.Ticket) placed {
+	s.sent.note(decision.Backend, func(sent *route.Sent) {
+		sent.Requests++
+		sent.PendingTokens += ask.PromptTokens - decision.CachedTokens
+	})
+	return placed{Decision: decision, Permit: permit, Ticket: ticket}
+}
+
 // releasePermit gives a place back.
 func (s *Server) releasePermit(where placed, completed bool) {
 	if where.Permit.Backend == "" {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -103,14 +103,15 @@
 }
 
 // FetchState asks the instance at address for its newest state of a stream. The
-// offset is 0 when it holds nothing newer than after.
-func (c *Client) FetchState(ctx context.Context, address, stream string, after int64) (offset int64, snapshot []byte, err error) {
-	err = c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) error {
-		reply, err := peer.FetchState(ctx, &peerpb.FetchStateRequest{Stream: stream, AfterOffset: after})
-		offset, snapshot = reply.GetOffset(), reply.GetSnapshot()
+// answer has no snapshot when it is not newer than after.
+func (c *Client) FetchState(ctx context.Context, address, stream string, after int64) (*peerpb.FetchStateReply, error) {
+	var reply *peerpb.FetchStateReply
+	err := c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = peer.FetchState(ctx, &peerpb.FetchStateRequest{Stream: stream, AfterOffset: after})
 		return err
 	})
-	return offset, snapshot, err
+	return reply, err
 }
 
 // Forward runs a request at the instance at address and hands each chunk of the
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,8 +37,8 @@
 	Forward func(ctx context.Context, request *peerpb.ForwardRequest, send func(*peerpb.ForwardChunk) error) error
 	// Limits answers a message about limits on backend servers.
 	Limits func(ctx context.Context, sender string, message []byte) ([]byte, error)
-	// FetchState returns the newest state of a stream and its offset.
-	FetchState func(ctx context.Context, stream string, after int64) (offset int64, snapshot []byte, err error)
+	// FetchState returns the newest state of a stream.
+	FetchState func(ctx context.Context, stream string, after int64) (*peerpb.FetchStateReply, error)
 	// AskClaim returns what is known here of a claimed key.
 	AskClaim func(ctx context.Context, sender string, message []byte) ([]byte, error)
 }
@@ -116,11 +116,7 @@
 	if s.handler.FetchState == nil {
 		return nil, errNotServed
 	}
-	offset, snapshot, err := s.handler.FetchState(ctx, in.GetStream(), in.GetAfterOffset())
-	if err != nil {
-		return nil, err
-	}
-	return &peerpb.FetchStateReply{Offset: offset, Snapshot: snapshot}, nil
+	return s.handler.FetchState(ctx, in.GetStream(), in.GetAfterOffset())
 }
 
 func answerEnvelope(
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -32,7 +32,7 @@
 	follower.Due = func(age time.Duration, entries int) bool {
 		old := o.Retention > 0 && age > o.Retention/4
 		mine := o.Due == nil || o.Due(stream)
-		return mine && (old && entries > 0 || entries >= snapshotEntries)
+		return mine && (old || entries >= snapshotEntries)
 	}
 	if o.PeerState != nil {
 		follower.PeerState = func(ctx context.Context, above journal.Offset) (journal.PeerState, error) {
--- a/internal/replica/placement.go
+++ b/internal/replica/placement.go
@@ -68,8 +68,8 @@
 	return nil
 }
 
-func (p *Placement) restore(data []byte, _ journal.Offset) error {
-	state, err := placement.Restore(data)
+func (p *Placement) restore(data []byte, at journal.Offset) error {
+	state, err := placement.Restore(data, at)
 	if err != nil {
 		return err
 	}
--- a/pkg/limit/level.go
+++ b/pkg/limit/level.go
@@ -5,6 +5,7 @@
 	coldEpoch int64
 	value     int   // 0 until the first growth
 	warm      bool  // the backend server reports that it is warm
+	cold      bool  // the backend server reports that it is cold: the level stays
 	completed int64 // requests that this member saw complete at the present value
 	byPeer    map[Member]int64
 	changed   int64 // sequence number of the last change
@@ -47,11 +48,18 @@
 	if a.level.warm {
 		return Outbox{}
 	}
-	a.level.warm = true
+	a.level.warm, a.level.cold = true, false
 	l.changedLevel(a)
 	return l.serveWaiting(a)
 }
 
+// MarkReportedCold notes that the backend server itself reports that it is cold.
+// Until it reports that it is warm, its level does not grow: a completed request
+// shows that it bears what it has, not that it bears more.
+func (l *Ledger) MarkReportedCold(backend, boot string) {
+	l.account(key{backend, boot}).level.cold = true
+}
+
 // MarkCold notes that the backend server turned cold without a new boot ID, by
 // its own report, its latency or an overflow. Until the news has reached a
 // member, that member keeps its old share, so for one heartbeat and one message
@@ -83,7 +91,7 @@
 func (l *Ledger) grow(a *account, limit Limit) {
 	bears := a.bears(limit)
 	rank, ok := l.newest().table.Rank(a.backend, l.Self)
-	if !ok || rank != 0 || bears >= limit.InFlight {
+	if !ok || rank != 0 || bears >= limit.InFlight || a.level.cold {
 		return
 	}
 	if a.level.total() < int64(bears) {
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -58,6 +58,11 @@
 	return Amount{Requests: l.Level(backend), Tokens: l.newest().limits.Backends[backend].Tokens}
 }
 
+// Share returns this member's own part of what the backend server bears now.
+func (l *Ledger) Share(backend string) Amount {
+	return l.account(key{backend, l.current[backend]}).share
+}
+
 // missing returns by how much the need exceeds what is left.
 func (l *Ledger) missing(a *account, need Amount) Amount {
 	left := a.share.Plus(l.usableLoans(a)).Minus(a.inFlight).Minus(l.countedLent(a))
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -142,7 +142,7 @@
 		if i%2 == 0 {
 			data, err := state.Snapshot()
 			g.Expect(err).NotTo(HaveOccurred())
-			state, err = Restore(data)
+			state, err = Restore(data, 0)
 			g.Expect(err).NotTo(HaveOccurred())
 		}
 	}
@@ -187,7 +187,7 @@
 	g.Expect(at).To(BeEquivalentTo(2))
 	g.Expect(s.add(t, 1, assign("g", "s2")).Skipped).To(BeTrue())
 	g.Expect(s.state.Offset()).To(BeEquivalentTo(1))
-	_, err := Restore([]byte(`{"Format":2,"Table":[]}`))
+	_, err := Restore([]byte(`{"Format":2,"Table":[]}`), 0)
 	g.Expect(err).To(MatchError(ErrNewerFormat))
 }
 
--- a/pkg/placement/snapshot.go
+++ b/pkg/placement/snapshot.go
@@ -40,9 +40,10 @@
 	})
 }
 
-// Restore returns the state that a snapshot holds. A snapshot of a newer format
-// yields ErrNewerFormat.
-func Restore(data []byte) (State, error) {
+// Restore returns the state that a snapshot holds, at the offset: that of the
+// entry which holds the snapshot, or 0 for the state's own. A snapshot of a newer
+// format yields ErrNewerFormat.
+func Restore(data []byte, at journal.Offset) (State, error) {
 	var form struct{ Format int }
 	if err := json.Unmarshal(data, &form); err != nil {
 		return State{}, errors.Wrap(err, "placement snapshot is not readable")
@@ -54,7 +55,9 @@
 	if err := json.Unmarshal(data, &snap); err != nil {
 		return State{}, errors.Wrap(err, "placement snapshot is not readable")
 	}
-	return snap.state(), nil
+	s := snap.state()
+	s.offset = max(s.offset, at)
+	return s, nil
 }
 
 func (snap snapshot) state() State {
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -52,6 +52,7 @@
 	}
 	for _, s := range specifications {
 		t.Run(s.file+" "+s.without, func(t *testing.T) {
+			t.Parallel()
 			expectChecker(t, s.file, s.without, s.verdict)
 		})
 	}
@@ -77,7 +78,7 @@
 		generate = append([]string{"-D" + without}, generate...)
 	}
 	run("spin", generate...)
-	run("gcc", "-O1", "-w", "-DSAFETY", "-DCOLLAPSE", "-DMEMLIM=2048", "-o", "pan", "pan.c")
+	run("gcc", "-O2", "-w", "-DSAFETY", "-DCOLLAPSE", "-DMEMLIM=2048", "-o", "pan", "pan.c")
 	out := run("./pan", "-m100000")
 	g.Expect(out).To(ContainSubstring(verdict))
 	g.Expect(out).NotTo(Or(ContainSubstring("search depth too small"), ContainSubstring("reached -DMEMLIM")))
