limit: shares in blocks of four

With 72 senders at a limit of 24, 24 members had a share of 1, so a borrower asked many that had nothing. Shares are now given in blocks of 4 requests in rendezvous order.

--- a/internal/measure/limits.go
+++ b/internal/measure/limits.go
@@ -72,6 +72,9 @@
 				limitCase{senders: senders, limit: limit, freeze: true})
 		}
 	}
+	cases = append(cases,
+		limitCase{senders: 72, limit: 24},
+		limitCase{senders: 72, limit: 24, freeze: true})
 	for _, c := range cases {
 		for _, scheme := range []func(*limitRun) limitScheme{staticAtLeastOne, staticExact, oneDispatcher, sharesWithLoans} {
 			t.Rows = append(t.Rows, runLimits(seed, c, scheme))
--- a/pkg/limit/amount.go
+++ b/pkg/limit/amount.go
@@ -45,6 +45,11 @@
 	return min(max(l.ColdInFlight, 1), l.InFlight)
 }
 
+// blockTokens is the tokens that go with a block of requests.
+func (l Limit) blockTokens(block int) int {
+	return max(l.Tokens*block/max(l.InFlight, 1), 1)
+}
+
 // Limits holds the configured limits of all backend servers of a data centre.
 type Limits struct {
 	Version  int64 // offset of the configuration record; it only grows
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -55,6 +55,7 @@
 		{senders: 9, limit: 1, cold: 1, want: 1},
 		{senders: 9, limit: 24, cold: 24, want: 24},
 		{senders: 9, limit: 24, cold: 1, want: 1},
+		{senders: 72, limit: 24, cold: 24, want: 24},
 		{senders: 3, limit: 24, cold: 2, want: 2},
 		{senders: 3, limit: 0, cold: 1, want: 0},
 	}
@@ -172,7 +173,7 @@
 	ledgers := []*Ledger{{Self: a}, {Self: b}}
 	for _, l := range ledgers {
 		l.SetLimits(limits)
-		l.SetTable(Table{Epoch: 7, Members: []Member{a, b}})
+		l.SetTable(Table{Epoch: 7, Members: []Member{a, b}, Block: 1})
 		l.Observe("w1", "boot1")
 	}
 	ledgers[0].Reconcile(ledgers[1].Statement(a))
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -98,14 +98,15 @@
 // lenders returns other members that have a share. Each refusal starts at the
 // next one, so that borrowers do not all ask the same lender first.
 func (l *Ledger) lenders(a *account, limit Limit) []Member {
-	order := l.newest().table.Order(a.backend)
+	table := l.newest().table
+	order := table.Order(a.backend)
 	l.rotation++
 	start := l.rotation
 	var lenders []Member
 	for i := range order {
 		at := (start + i) % len(order)
 		m := order[at]
-		hasShare := share(min(limit.InFlight, a.bears(limit)), len(order), at) > 0
+		hasShare := share(min(limit.InFlight, a.bears(limit)), table.block(), len(order), at) > 0
 		if hasShare && m != l.Self && !l.gone[m] && len(lenders) < maxLenders {
 			lenders = append(lenders, m)
 		}
--- a/pkg/limit/plan.go
+++ b/pkg/limit/plan.go
@@ -211,7 +211,7 @@
 	}
 	n := len(p.table.Members)
 	return Amount{
-		Requests: share(min(limit.InFlight, a.bears(limit)), n, rank),
-		Tokens:   share(limit.Tokens, n, rank),
+		Requests: share(min(limit.InFlight, a.bears(limit)), p.table.block(), n, rank),
+		Tokens:   share(limit.Tokens, limit.blockTokens(p.table.block()), n, rank),
 	}
 }
--- a/pkg/limit/schedule_test.go
+++ b/pkg/limit/schedule_test.go
@@ -234,6 +234,11 @@
 			w.readNext(p)
 		}
 	}
+	w.stepTalk()
+}
+
+// stepTalk delivers a statement of everyone to everyone.
+func (w *world) stepTalk() {
 	for _, from := range w.procs {
 		for _, to := range w.procs {
 			if from != to && running(from) && running(to) {
@@ -337,6 +342,7 @@
 	loans   = action{60, (*world).stepLoan}
 	crashes = action{2, (*world).stepCrash}
 	colds   = action{3, (*world).stepTurnCold}
+	talks   = action{30, (*world).stepTalk}
 )
 
 // stepTurnCold lets a process find out that a server has turned cold.
@@ -399,6 +405,7 @@
 		"changes and skips":  {changes, skips},
 		"turning cold":       {loans, colds},
 		"everything at once": {changes, skips, loans, crashes},
+		"talks and skips":    {changes, skips, skips, talks},
 	}
 	for name, extra := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -428,7 +435,7 @@
 		{name: "sequence of statements", disabled: guardSequence},
 		{name: "cold level of a new boot", disabled: guardCold},
 		{name: "loans of settled lenders only", disabled: guardCover, extra: []action{loans, crashes}},
-		{name: "settled for the exact version", disabled: guardExact, extra: []action{changes, skips}},
+		{name: "settled for the exact version", disabled: guardExact, extra: []action{changes, skips, skips, talks}},
 		{name: "loan that was given up", disabled: guardAbandoned},
 	}
 	for _, tt := range tests {
--- a/pkg/limit/table.go
+++ b/pkg/limit/table.go
@@ -20,6 +20,18 @@
 	Epoch   int64    // offset of the record that made the table; it only grows
 	Members []Member // each appears once
 	Former  []Member // members of earlier tables that are not known to be gone
+	Block   int      // requests that a member gets before the next one gets any; 0 is DefaultBlock
+}
+
+// DefaultBlock is the block of a table that sets none: a few members with larger
+// shares have something to lend more often than many with small ones.
+const DefaultBlock = 4
+
+func (t Table) block() int {
+	if t.Block > 0 {
+		return t.Block
+	}
+	return DefaultBlock
 }
 
 // Share returns the member's part of a backend server's limit. The shares of
@@ -29,7 +41,7 @@
 	if !ok {
 		return 0
 	}
-	return share(limit, len(t.Members), rank)
+	return share(limit, t.block(), len(t.Members), rank)
 }
 
 // Rank returns the member's position in the rendezvous order of the backend
@@ -63,11 +75,15 @@
 	return order
 }
 
-func share(limit, members, rank int) int {
-	if limit <= 0 {
-		return 0
+// share gives each member a block in the order of rank and splits the rest
+// evenly. It never shrinks when the limit grows.
+func share(limit, block, members, rank int) int {
+	first := min(block, max(limit-rank*block, 0))
+	rest := limit - members*block
+	if rest <= 0 {
+		return first
 	}
-	return (limit + members - 1 - rank) / members
+	return first + (rest+members-1-rank)/members
 }
 
 func weight(backend string, m Member) uint64 {
--- a/pkg/limit/table_test.go
+++ b/pkg/limit/table_test.go
@@ -19,6 +19,7 @@
 func TestSharesSumToTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := Table{Epoch: 1, Members: someMembers(rapid.IntRange(1, 80).Draw(t, "members"))}
+		table.Block = rapid.IntRange(0, 9).Draw(t, "block")
 		limit := rapid.IntRange(0, 500).Draw(t, "limit")
 		backend := rapid.String().Draw(t, "backend")
 		sum := 0
--- a/pkg/limit/world_test.go
+++ b/pkg/limit/world_test.go
@@ -16,6 +16,7 @@
 	believe   bool // take silence for the end of a process
 	procs     []*process
 	boots     int
+	block     int // of all tables
 	log       []record
 	mail      []any
 	servers   map[string]*server
@@ -71,6 +72,7 @@
 
 func newWorld(t *rapid.T, disabled guard, believe bool) *world {
 	w := &world{t: t, disabled: disabled, believe: believe, limits: make(map[int64]Limits)}
+	w.block = rapid.SampledFrom([]int{1, 1, DefaultBlock}).Draw(t, "block")
 	w.servers = map[string]*server{"s1": {}, "s2": {warm: true}}
 	w.configure(1, 6)
 	for range worldNames {
@@ -90,7 +92,7 @@
 
 // table appends a record with the members that keep holds for.
 func (w *world) table(keep func(*process) bool) {
-	t := Table{Epoch: int64(len(w.log) + 1)}
+	t := Table{Epoch: int64(len(w.log) + 1), Block: w.block}
 	for _, p := range w.procs {
 		switch {
 		case p.dead:
