--- a/pkg/limit/plan.go
+++ b/pkg/limit/plan.go
@@ -199,22 +199,30 @@
 	if len(plans) == 0 {
 		return Amount{}
 	}
-	smallest := l.shareIn(plans[0].table, a)
+	smallest := l.shareIn(plans[0], a)
 	for _, p := range plans[1:] {
-		smallest = smallest.Min(l.shareIn(p.table, a))
+		smallest = smallest.Min(l.shareIn(p, a))
 	}
 	return smallest
 }
 
-func (l *Ledger) shareIn(t Table, a *account) Amount {
+// shareIn returns the share at the plan's table. Tokens are split in blocks whose
+// size depends on the limits: where it changes, a member's share can shrink while
+// the limit grows, so that the plan's own limits bind too.
+func (l *Ledger) shareIn(p plan, a *account) Amount {
 	limit := l.newest().limits.Backends[a.backend]
-	rank, ok := t.Rank(a.backend, l.Self)
+	rank, ok := p.table.Rank(a.backend, l.Self)
 	if !ok {
 		return Amount{}
 	}
-	n := len(t.Members)
+	n, block := len(p.table.Members), p.table.block()
+	tokens := share(limit.Tokens, limit.blockTokens(block), n, rank)
+	before, known := p.limits.Backends[a.backend]
+	if known && before.blockTokens(block) != limit.blockTokens(block) {
+		tokens = min(tokens, share(before.Tokens, before.blockTokens(block), n, rank))
+	}
 	return Amount{
-		Requests: share(min(limit.InFlight, a.bears(limit)), n, rank),
-		Tokens:   share(limit.Tokens, n, rank),
+		Requests: share(min(limit.InFlight, a.bears(limit)), block, n, rank),
+		Tokens:   tokens,
 	}
 }
