--- a/pkg/claim/claimant_test.go
+++ b/pkg/claim/claimant_test.go
@@ -11,7 +11,10 @@
 )
 
 func testKey() Key {
-	return Key{ClientAccount: "library", Service: "orders", ID: uuid.Must(uuid.NewV7())}
+	id := uuid.New()
+	at := keyAt(time.Now(), 0).ID
+	copy(id[:6], at[:6]) // uuid.NewV7 does not follow virtual time back
+	return Key{ClientAccount: "library", Service: "orders", ID: id}
 }
 
 // bubble runs f under virtual time with claimants that end with it. They ask
@@ -97,6 +100,21 @@
 	})
 }
 
+func TestGivenUpClaimIsReleasedWithoutMoreTraffic(t *testing.T) {
+	log := newFakeLog()
+	log.ReadsAway = true
+	bubble(t, log, []ClaimantID{"a"}, func(ctx context.Context, g *WithT, c []*Claimant) {
+		_, err := c[0].Begin(ctx, testKey(), DigestOf())
+		var away *UnavailableError
+		g.Expect(err).To(BeAssignableToTypeOf(away))
+
+		log.set(func() { log.ReadsAway = false })
+		ctx, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		g.Expect(c[0].Flush(ctx)).To(Succeed())
+	})
+}
+
 func TestGoneClaimantIsUnknownAtOnce(t *testing.T) {
 	bubble(t, newFakeLog(), []ClaimantID{"a", "b"}, func(ctx context.Context, g *WithT, c []*Claimant) {
 		key, digest := testKey(), DigestOf()
--- a/pkg/claim/doc.go
+++ b/pkg/claim/doc.go
@@ -36,4 +36,16 @@
 // UnavailableError speaks only about this attempt: it never runs, but an earlier
 // attempt of the same key may have run. So it is "not run" for the first attempt
 // of a key and "unknown" for each later one.
+//
+// # While the log is away
+//
+// Begin refuses. The other way is to let an entry instance mint keys beforehand
+// and be their only sender, with its memory in place of the log. The simulation
+// measure.ClaimOutage compares both in an outage of 10 minutes with callers who
+// wait a minute: claims on the log run 0.09 of the orders and refuse the others,
+// minted keys run nearly all. But a minted key has to be fetched before the
+// order, can be sent only through one process, and is unknown for good when that
+// process ends during an order. Callers who wait for the outage to end lose
+// nothing by claims on the log, so this package has no minted keys yet; they would
+// be an addition, with the same records once the log is back.
 package claim
--- a/pkg/claim/log_test.go
+++ b/pkg/claim/log_test.go
@@ -17,6 +17,7 @@
 
 	Latency    time.Duration // of each append
 	Away       bool          // neither appends nor reads work
+	ReadsAway  bool          // only appends work
 	LoseAnswer bool          // appends take effect, their answers are lost
 }
 
@@ -63,7 +64,7 @@
 	for {
 		l.mu.Lock()
 		page := l.page(stream, from, limit)
-		away, grown := l.Away, l.grown
+		away, grown := l.Away || l.ReadsAway, l.grown
 		l.mu.Unlock()
 		switch {
 		case away:
--- a/pkg/claim/runner.go
+++ b/pkg/claim/runner.go
@@ -85,6 +85,7 @@
 		return a, nil // the verdict came at the same moment
 	}
 	r.c.stats.givenUp.Add(1)
+	r.kick() // a claim that was sent needs its release
 	return nil, r.unavailable(errors.CombineErrors(r.lastErr(), ctx.Err()))
 }
 
