claim: a claim exactly one margin before its key's time is refused

Cause: such a claim was valid, and a reader whose coverage begins at the same time stamp took the key for known without having read it, so it could run twice. Change: the bound is exclusive. TestCoverageAtItsEdge fails at 0 s before the change, and passes after it.

--- a/pkg/claim/parse_test.go
+++ b/pkg/claim/parse_test.go
@@ -128,3 +128,24 @@
 	id[14], id[15] = byte(n>>8), byte(n)
 	return Key{ID: id}
 }
+
+// TestCoverageAtItsEdge claims a key as early as a claim can be valid, in an
+// entry that a reader then misses, with the next entry at the same time.
+func TestCoverageAtItsEdge(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	for _, ahead := range []time.Duration{-time.Millisecond, 0, time.Millisecond} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			key := keyAt(start.Add(DefaultSkewMargin+ahead), 1)
+			data, err := Batch{Records: []Record{{Kind: RecordClaim, Key: key, Claim: uuid.UUID{1}}}}.Encode()
+			g.Expect(err).NotTo(HaveOccurred())
+			var full, late Shard
+			g.Expect(full.Apply(journal.Entry{Offset: 1, Time: start, Data: data})).To(Succeed())
+			late.Skip(2, start)
+			g.Expect(late.Apply(journal.Entry{Offset: 2, Time: start, Data: []byte("{}")})).To(Succeed())
+			held := full.Lookup(key).State == StateRunning
+			known := late.Lookup(key).State != StateExpired
+			g.Expect(held && known).To(BeFalse(), "the late reader takes a held key for free")
+		})
+	}
+}
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -100,7 +100,7 @@
 }
 
 // cover notes that entries before start may have been missed. A valid claim
-// stands at most SkewMargin before its key's time, so later keys are known.
+// stands less than SkewMargin before its key's time, so keys from then on are known.
 func (s *Shard) cover(start time.Time) {
 	at := start.Add(s.skewMargin())
 	if at.After(s.covered) {
@@ -166,7 +166,7 @@
 		return
 	}
 	k.see(r.Claim)
-	early := r.Key.Time().Sub(at) > s.skewMargin()
+	early := r.Key.Time().Sub(at) >= s.skewMargin()
 	if early && !s.disabled.has(guardLogClock) {
 		return
 	}
