claim: a record too early for its key leaves no trace

Cause: a claim refused as too early was still remembered by readers that saw it. When it landed a second time in time, they refused it, and a reader whose coverage began in between let it win: two views, so a key could run twice. Change: all records too early for their key are ignored by every reader; the claimant appends such a record again. TestEarlyClaimLeavesNoTrace fails before the change and passes after it.

--- a/pkg/claim/machine_test.go
+++ b/pkg/claim/machine_test.go
@@ -230,7 +230,7 @@
 		return err
 	}
 	if m.pick(4) > 0 {
-		f.from.part.appended(f.flights)
+		f.from.part.appended(f.flights, e.Offset)
 	}
 	if m.pick(5) > 0 {
 		m.flying = append(m.flying[:n], m.flying[n+1:]...)
--- a/pkg/claim/parse_test.go
+++ b/pkg/claim/parse_test.go
@@ -149,3 +149,29 @@
 		})
 	}
 }
+
+// TestEarlyClaimLeavesNoTrace lands a claim too early and then again in time.
+// A reader that missed the first landing has to agree with one that saw it.
+func TestEarlyClaimLeavesNoTrace(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1_800_000_000, 0)
+	key := keyAt(start.Add(3*time.Minute), 1)
+	entry := func(offset int, at time.Duration, ids ...byte) journal.Entry {
+		var b Batch
+		for _, id := range ids {
+			b.Records = append(b.Records, Record{Kind: RecordClaim, Key: key, Claim: uuid.UUID{id}})
+		}
+		data, err := b.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		return journal.Entry{Offset: journal.Offset(offset), Time: start.Add(at), Data: data}
+	}
+	var full, late Shard
+	g.Expect(full.Apply(entry(1, 0, 1))).To(Succeed())
+	late.Skip(2, start)
+	for _, e := range []journal.Entry{entry(2, time.Second), entry(3, 150*time.Second, 1, 2)} {
+		g.Expect(full.Apply(e)).To(Succeed())
+		g.Expect(late.Apply(e)).To(Succeed())
+	}
+	g.Expect(full.Lookup(key).State).To(Equal(StateRunning))
+	g.Expect(late.Lookup(key)).To(Equal(full.Lookup(key)))
+}
--- a/pkg/claim/participant.go
+++ b/pkg/claim/participant.go
@@ -30,8 +30,8 @@
 
 	phase   phase
 	used    bool
-	sent    bool // a claim record went into an append
-	landed  bool // the record that the phase wants is in the log
+	sent    bool           // a claim record went into an append
+	landed  journal.Offset // of the record that the phase wants, 0 if it is to be appended
 	answer  Answer
 	reason  string
 	settled chan struct{} // closed when the phase is no longer waiting
@@ -62,7 +62,7 @@
 		close(a.settled)
 	}
 	a.phase = p
-	a.landed = false
+	a.landed = 0
 }
 
 // participant is what one process knows of one claim stream: the folded stream
@@ -100,7 +100,7 @@
 	)
 	for _, a := range p.attempts {
 		r, ok := a.record()
-		if !ok || a.landed {
+		if !ok || a.landed != 0 {
 			continue
 		}
 		size += recordBytes(r)
@@ -118,17 +118,17 @@
 func (p *participant) hasWork() bool {
 	return slices.ContainsFunc(p.attempts, func(a *attempt) bool {
 		_, ok := a.record()
-		return ok && !a.landed
+		return ok && a.landed == 0
 	})
 }
 
-// appended notes that the log took the records.
-func (p *participant) appended(flights []flight) {
+// appended notes that the log took the records at the offset.
+func (p *participant) appended(flights []flight, at journal.Offset) {
 	for _, f := range flights {
 		if f.attempt.phase != f.phase {
 			continue
 		}
-		f.attempt.landed = true
+		f.attempt.landed = at
 		if f.phase == phaseWaiting && p.disabled.has(guardReadBack) {
 			f.attempt.enter(phaseWon)
 		}
@@ -157,6 +157,9 @@
 // settleOne compares an attempt with the log and reports whether the log needs
 // nothing more from it.
 func (p *participant) settleOne(a *attempt) bool {
+	if a.landed < p.shard.Next() {
+		a.landed = 0 // folded: what has no effect by then was too early and goes again
+	}
 	h := p.shard.Lookup(a.key)
 	holds := h.State == StateRunning && h.Claim == a.claim
 	decided := h.State == StateExpired || p.shard.spent(a.key, a.claim)
--- a/pkg/claim/runner.go
+++ b/pkg/claim/runner.go
@@ -158,7 +158,7 @@
 	}
 	actx, cancel := context.WithTimeout(ctx, orDefault(r.c.AppendTimeout, DefaultAppendTimeout))
 	defer cancel()
-	_, err = r.c.Log.Append(actx, r.stream, data)
+	at, err := r.c.Log.Append(actx, r.stream, data)
 	r.c.stats.appends.Add(1)
 	if err != nil {
 		return false, err
@@ -168,7 +168,7 @@
 	defer r.mu.Unlock()
 	r.appendErr = nil
 	r.awayUntil = time.Time{}
-	r.part.appended(flights)
+	r.part.appended(flights, at)
 	return r.part.hasWork(), nil
 }
 
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -138,12 +138,12 @@
 }
 
 func (s *Shard) applyRecord(e journal.Entry, claimant ClaimantID, r Record) {
-	if r.Key.Time().Before(s.Floor()) {
+	if r.Key.Time().Before(s.Floor()) || s.isEarly(r.Key, e.Time) {
 		return
 	}
 	switch r.Kind {
 	case RecordClaim:
-		s.applyClaim(e.Time, claimant, r)
+		s.applyClaim(claimant, r)
 	case RecordRelease:
 		s.applyRelease(r)
 	case RecordComplete:
@@ -159,17 +159,19 @@
 	}
 }
 
+// isEarly reports whether an entry stands too far before its key's time. Such a
+// record leaves no trace, since readers whose coverage begins later miss it.
+func (s *Shard) isEarly(key Key, at time.Time) bool {
+	return key.Time().Sub(at) >= s.skewMargin() && !s.disabled.has(guardLogClock)
+}
+
 // applyClaim gives a claim ID its only verdict: it holds the key or never will.
-func (s *Shard) applyClaim(at time.Time, claimant ClaimantID, r Record) {
+func (s *Shard) applyClaim(claimant ClaimantID, r Record) {
 	k := s.key(r.Key)
 	if k.hasSeen(r.Claim) && !s.disabled.has(guardOneVerdict) {
 		return
 	}
 	k.see(r.Claim)
-	early := r.Key.Time().Sub(at) >= s.skewMargin()
-	if early && !s.disabled.has(guardLogClock) {
-		return
-	}
 	if k.State != StateFree {
 		return
 	}
