entry, control: open requests keep a draining group, claims are given up with the lease

Cause: a draining group was dissolved by the engines' lagging reports alone; an unsent order claim of an instance that lost the lease kept its server apart; a new controller took servers that it had not asked yet for lost. Change: entry instances publish their open requests at draining groups; the issuer abandons claims when the lease lapses; the controller says since when it watches. Statements about limits go to those that lack something, to the others in turns.

--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,22 +42,37 @@
 func (b *Book) Run(ctx context.Context, interval time.Duration) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			b.round(ctx)
+			b.round(ctx, round)
 		}
 	}
 }
 
-// round sends a statement to every other member of the table.
-func (b *Book) round(ctx context.Context) {
-	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Tick() })
+// allEvery is the number of rounds after which a statement goes to a member that
+// lacks nothing as far as is known: the one before may have been lost.
+const allEvery = 10
+
+// due returns the members that a statement goes to in this round.
+func (b *Book) due(round int) []limit.Member {
 	b.mu.Lock()
-	members := slices.Clone(b.members)
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	var members []limit.Member
+	for i, member := range b.members {
+		if (round+i)%allEvery == 0 || b.ledger.Due(member) {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// round sends the statements that are due.
+func (b *Book) round(ctx context.Context, round int) {
+	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Tick() })
+	members := b.due(round)
 	var calls errgroup.Group
 	calls.SetLimit(statementCalls)
 	for _, member := range members {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,7 @@
 	issuer  *group.Issuer
 	decider group.Controller
 	orders  sync.WaitGroup
+	started time.Time // when this instance began to watch the backend servers
 }
 
 func (c *Controller) init() {
@@ -62,6 +63,7 @@
 // Run decides until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
+	c.started = time.Now()
 	defer c.orders.Wait()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -103,6 +105,9 @@
 		return
 	}
 	err := c.holder.Act(ctx, c.decide)
+	if errors.Is(err, lease.ErrLapsed) {
+		c.issuer.Abandon(state) // another instance decides now
+	}
 	if err != nil && !errors.Is(err, lease.ErrLapsed) && ctx.Err() == nil {
 		c.Log.WithError(err).Warn("decision over groups is not recorded")
 	}
@@ -114,6 +119,7 @@
 	input.Self = c.Self
 	input.State = c.Placement.State()
 	input.Sent = c.issuer.Sent
+	input.Started = c.started
 	decision := c.decider.Decide(input)
 	for _, note := range decision.Notes {
 		c.Log.WithFields(logrus.Fields{
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorystall/chicorystall/internal/backend"
 	"github.com/chicorystall/chicorystall/internal/capacity"
@@ -90,6 +92,7 @@
 			in.Servers = append(in.Servers, server)
 		}
 	}
+	s.countOpen(in.InFlight)
 	for name, o := range s.watcher.Observations() {
 		in.Leaving[name] = o.Leaving
 	}
@@ -105,6 +108,55 @@
 	return in
 }
 
+// openItem is the key under which an instance publishes its open requests.
+const openItem = "open"
+
+// countOpen adds the requests that all entry instances of this data centre have
+// open, by group.
+func (s *Server) countOpen(byGroup map[string]int) {
+	for _, g := range s.placement.State().Groups() {
+		byGroup[g.Name] += s.open.of(g.Name)
+	}
+	for _, row := range s.members.Alive() {
+		item, published := row.Item(openItem)
+		if !published || row.Name == s.settings.Name {
+			continue
+		}
+		var report peerpb.InstanceReport
+		if proto.Unmarshal(item.Value, &report) != nil {
+			continue
+		}
+		for name, count := range report.GetInFlight() {
+			byGroup[name] += int(count)
+		}
+	}
+}
+
+// publishOpen tells the others how many requests this instance has open at groups
+// that are draining. Others need not know: their counts change all the time.
+func (s *Server) publishOpen(ctx context.Context) error {
+	ticker := time.NewTicker(s.settings.Heartbeat.Peers)
+	defer ticker.Stop()
+	for {
+		report := &peerpb.InstanceReport{InFlight: make(map[string]int32)}
+		for _, g := range s.placement.State().Groups() {
+			if open := s.open.of(g.Name); open > 0 && g.Phase == placement.PhaseDraining {
+				report.InFlight[g.Name] = int32(open)
+			}
+		}
+		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(report)
+		if err != nil {
+			return err
+		}
+		s.members.SetItem(openItem, value)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
 // engineOf returns the client of a model worker, nil when it is not configured.
 func (s *Server) engineOf(name string) *engine.Client {
 	server, known := s.config.State().Config().BackendServer(name)
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -146,6 +146,7 @@
 		sent.Requests++
 		sent.PendingTokens += ask.PromptTokens - decision.CachedTokens
 	})
+	s.open.add(decision.Group, 1)
 	return placed{Decision: decision, Permit: permit, Ticket: ticket}
 }
 
@@ -155,6 +156,7 @@
 		return
 	}
 	s.sent.note(where.Permit.Backend, func(sent *route.Sent) { sent.Ended++ })
+	s.open.add(where.Decision.Group, -1)
 	s.book.Release(context.Background(), where.Permit, completed)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -47,6 +47,7 @@
 	waiting   *waitingRoom
 	views     viewCache
 	sent      sentCounters
+	open      openRequests
 	fleet     fleetList
 	check     group.Check
 	drain     drainState
@@ -191,6 +192,7 @@
 		s.followTable,
 		s.followConfig,
 		s.followPlatform,
+		s.publishOpen,
 		s.waiting.run,
 		func(ctx context.Context) error { return s.book.Run(ctx, s.settings.Heartbeat.Peers) },
 		func(ctx context.Context) error { return untilDone(ctx, s.claimant.Run) },
