--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +15,9 @@
 // lendersAsked is how many members one Acquire asks for a loan.
 const lendersAsked = 3
 
+// loanPatience is how long a request for a loan waits at a lender.
+const loanPatience = time.Second
+
 // Call sends a message to a member and returns its answer.
 type Call func(ctx context.Context, to limit.Member, message []byte) ([]byte, error)
 
@@ -133,13 +137,14 @@
 }
 
 // TryAcquire takes a permit if this member has room for it now.
-func (b *Book) TryAcquire(ctx context.Context, backend string, tokens int) (limit.Permit, bool) {
-	permit, refused := b.acquire(backend, tokens)
-	if refused == nil {
-		return permit, true
+func (b *Book) TryAcquire(backend string, tokens int) (limit.Permit, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	permit, ok := b.ledger.TryAcquire(backend, tokens)
+	if ok {
+		b.own[backend] = b.own[backend].Plus(limit.Amount{Requests: 1, Tokens: tokens})
 	}
-	b.abandon(ctx, backend)
-	return limit.Permit{}, false
+	return permit, ok
 }
 
 // AskFor takes a place among those who wait for the backend server, for a request
@@ -222,13 +227,32 @@
 	b.mu.Lock()
 	wait := b.ledger.Share(backend).Requests == 0
 	b.mu.Unlock()
-	for _, lender := range refused.Lenders[:min(lendersAsked, len(refused.Lenders))] {
-		if b.borrow(ctx, backend, lender, refused.Missing, false) {
+	for i, lender := range refused.Lenders[:min(lendersAsked, len(refused.Lenders))] {
+		if b.borrow(ctx, backend, lender, refused.Missing, wait && i == 0) {
 			return
 		}
 	}
-	if wait {
-		b.borrow(ctx, backend, refused.Lenders[0], refused.Missing, true)
+}
+
+// awaitReply waits until a loan that waits at its lender has its final reply, and
+// gives it up when it takes too long: the reply may have been lost.
+func (b *Book) awaitReply(ctx context.Context, id limit.LoanID) {
+	ctx, cancel := context.WithTimeout(ctx, loanPatience)
+	defer cancel()
+	for {
+		freed := b.Freed()
+		b.mu.Lock()
+		awaits := b.ledger.Awaits(id)
+		b.mu.Unlock()
+		if !awaits {
+			return
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.GiveUp(id) })
+			return
+		}
 	}
 }
 
@@ -243,7 +267,11 @@
 		b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.GiveUp(request.ID) })
 		return false
 	}
-	return b.accept(ctx, answer.Replies)
+	usable := b.accept(ctx, answer.Replies)
+	if wait && !usable {
+		b.awaitReply(ctx, request.ID)
+	}
+	return usable
 }
 
 func (b *Book) accept(ctx context.Context, replies []limit.LoanReply) bool {
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -126,7 +126,7 @@
 		if decision.DataCentre != s.settings.DataCentre {
 			return placed{Decision: decision}, nil, true
 		}
-		permit, ok := s.book.TryAcquire(ctx, decision.Backend, ask.Tokens())
+		permit, ok := s.book.TryAcquire(decision.Backend, ask.Tokens())
 		if ok {
 			return s.taken(ask, decision, permit, now.tickets[decision.Group]), nil, true
 		}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -178,12 +178,15 @@
 		workers := s.serviceWorkers(call.service.Name, avoid)
 		closed = len(workers) == 0
 		for _, worker := range workers {
-			taken, ok := s.book.TryAcquire(ctx, worker.Name, 0)
+			taken, ok := s.book.TryAcquire(worker.Name, 0)
 			if ok {
 				permit = taken
 				return true
 			}
 		}
+		if !closed {
+			s.book.AskFor(ctx, workers[0].Name, 0)
+		}
 		return closed
 	})
 	switch {
--- a/pkg/limit/permit.go
+++ b/pkg/limit/permit.go
@@ -29,20 +29,33 @@
 // is a *Refusal; the member's own request then has a place among the waiting
 // until the next Acquire, or Abandon.
 func (l *Ledger) Acquire(backend string, tokens int) (Permit, error) {
+	if permit, ok := l.TryAcquire(backend, tokens); ok {
+		return permit, nil
+	}
 	a := l.account(key{backend, l.current[backend]})
 	need := Amount{Requests: 1, Tokens: tokens}
-	missing := l.missing(a, need)
-	if !missing.IsZero() {
-		return Permit{}, l.refuse(a, need, missing)
-	}
-	if len(a.waiting) > 0 && (a.ticket == 0 || a.ticket > a.waiting[0].ticket) {
-		return Permit{}, l.refuse(a, need, Amount{})
+	return Permit{}, l.refuse(a, need, l.missing(a, need))
+}
+
+// TryAcquire is like Acquire for a request that does not wait when it is refused:
+// it neither takes nor gives up a place among the waiting.
+func (l *Ledger) TryAcquire(backend string, tokens int) (Permit, bool) {
+	a := l.account(key{backend, l.current[backend]})
+	need := Amount{Requests: 1, Tokens: tokens}
+	if !l.missing(a, need).IsZero() || a.othersFirst() {
+		return Permit{}, false
 	}
 	a.ticket = 0
 	a.inFlight = a.inFlight.Plus(need)
 	l.tickets++
 	a.permits[l.tickets] = tokens
-	return Permit{Backend: backend, Boot: a.boot, Number: l.tickets, Tokens: tokens}, nil
+	return Permit{Backend: backend, Boot: a.boot, Number: l.tickets, Tokens: tokens}, true
+}
+
+// othersFirst reports whether another member waits for a loan for longer than
+// the member's own requests.
+func (a *account) othersFirst() bool {
+	return len(a.waiting) > 0 && (a.ticket == 0 || a.ticket > a.waiting[0].ticket)
 }
 
 // Room returns what this member may send to the backend server without a new
@@ -103,14 +116,15 @@
 // lenders returns other members that have a share. Each refusal starts at the
 // next one, so that borrowers do not all ask the same lender first.
 func (l *Ledger) lenders(a *account, limit Limit) []Member {
-	order := l.newest().table.Order(a.backend)
+	table := l.newest().table
+	order := table.Order(a.backend)
 	l.rotation++
 	start := l.rotation
 	var lenders []Member
 	for i := range order {
 		at := (start + i) % len(order)
 		m := order[at]
-		hasShare := share(min(limit.InFlight, a.bears(limit)), len(order), at) > 0
+		hasShare := share(min(limit.InFlight, a.bears(limit)), table.block(), len(order), at) > 0
 		if hasShare && m != l.Self && !l.gone[m] && len(lenders) < maxLenders {
 			lenders = append(lenders, m)
 		}
