entry: calls that may not be repeated are matched as a service reads them

Excluded: the ledger (its sum held; the permits were given back too early). Change: paths are decoded, cleaned and compared by parts; an unlisted POST or PATCH is repeated only when it certainly did not run; a permit is kept until the engine confirms that it dropped the request or its process is gone; outcomes follow the engine's word. Observations travel only when they change, and stand as long as their observer lives; heartbeats are a second apart by default.

--- a/internal/backend/observation.go
+++ b/internal/backend/observation.go
@@ -45,7 +45,7 @@
 }
 
 // encode returns the observation as it travels to the other entry instances.
-func (o Observation) encode(round uint32) []byte {
+func (o Observation) encode() []byte {
 	phase := engine.Loading
 	switch {
 	case o.Warm:
@@ -64,7 +64,6 @@
 		InFlight:       int32(o.InFlight),
 		KvTokens:       int32(o.KVTokens),
 		ObservedOffset: int64(o.Observed),
-		Round:          round,
 		Silent:         o.Silent,
 	})
 	if err != nil {
--- a/internal/backend/watcher.go
+++ b/internal/backend/watcher.go
@@ -23,9 +23,6 @@
 	concurrentPolls = 16
 	// itemPrefix begins the keys of published observations.
 	itemPrefix = "server/"
-	// refreshRounds is the number of rounds after which an unchanged observation
-	// is published again, so that others know that it is fresh.
-	refreshRounds = 2
 	// loadChange is the part by which a load has to change to be published early.
 	loadChange = 0.25
 )
@@ -42,6 +39,9 @@
 	Rank func(server string) int
 	// Placement returns the offset of the placement that was applied.
 	Placement func() journal.Offset
+	// Questioned reports whether it matters when a backend server was asked, since
+	// it may obey an order that is in doubt.
+	Questioned func(server string) bool
 	// Publish passes an observation on to the other entry instances.
 	Publish func(key string, value []byte)
 	// Members returns the other entry instances with what they published.
@@ -57,22 +57,16 @@
 
 	mu        sync.Mutex
 	newest    map[string]Observation
-	published map[string]publication
+	published map[string]Observation
 	versions  map[string]uint64 // of items taken from others, by observer and key
 }
 
-// publication is what was last published of a backend server.
-type publication struct {
-	observation Observation
-	round       uint32
-}
-
 // NewWatcher returns a watcher that knows nothing yet.
 func NewWatcher(options Options) *Watcher {
 	return &Watcher{
 		options:   options,
 		newest:    make(map[string]Observation),
-		published: make(map[string]publication),
+		published: make(map[string]Observation),
 		versions:  make(map[string]uint64),
 	}
 }
@@ -81,9 +75,9 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(w.options.Interval)
 	defer ticker.Stop()
-	for round := uint32(0); ; round++ {
+	for {
 		w.merge(ctx)
-		w.poll(ctx, round)
+		w.poll(ctx)
 		w.changed.Notify()
 		select {
 		case <-ctx.Done():
@@ -126,18 +120,45 @@
 	}
 }
 
-// merge takes in what the other entry instances published.
+// merge takes in what the other entry instances published. What a living observer
+// published last stands until it publishes something else, so that an observation
+// that does not change need not travel again.
 func (w *Watcher) merge(ctx context.Context) {
 	now := time.Now()
+	standing := make(map[string]string) // observers by backend server
+	silent := make(map[string]bool)
 	for _, row := range w.options.Members() {
 		if row.Name == w.options.Self {
 			continue
 		}
 		for _, item := range row.Items {
 			server, ok := strings.CutPrefix(item.Key, itemPrefix)
-			if ok && w.isNew(row, item) {
-				w.take(ctx, server, row.Name, item.Value, now)
+			if !ok || len(item.Value) == 0 {
+				continue
+			}
+			o, err := decodeObservation(server, row.Name, item.Value, now)
+			silent[server] = silent[server] || err != nil || o.Silent
+			if err == nil && !o.Silent && w.isNew(row, item) {
+				w.store(ctx, o)
 			}
+			if row.Status == member.Alive {
+				standing[server+" "+row.Name] = server
+			}
+		}
+	}
+	w.refresh(now, standing, silent)
+}
+
+// refresh keeps observations fresh whose observer is alive and has not published
+// another one, as long as no observer finds the backend server silent.
+func (w *Watcher) refresh(now time.Time, standing map[string]string, silent map[string]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for server, o := range w.newest {
+		_, stands := standing[server+" "+o.Observer]
+		if stands && !silent[server] && !o.Silent {
+			o.At = now
+			w.newest[server] = o
 		}
 	}
 }
@@ -153,33 +174,26 @@
 	return true
 }
 
-func (w *Watcher) take(ctx context.Context, server, observer string, value []byte, now time.Time) {
-	o, err := decodeObservation(server, observer, value, now)
-	if err != nil || o.Silent {
-		return
-	}
-	w.store(ctx, o)
-}
-
 // poll asks the backend servers that this instance observes.
-func (w *Watcher) poll(ctx context.Context, round uint32) {
+func (w *Watcher) poll(ctx context.Context) {
 	servers := w.options.Servers()
 	w.forget(servers)
 	var polls errgroup.Group
 	polls.SetLimit(concurrentPolls)
 	for _, server := range servers {
 		if w.options.Rank(server.Name) >= observers {
+			w.withdraw(server.Name)
 			continue
 		}
 		polls.Go(func() error {
-			w.ask(ctx, server, round)
+			w.ask(ctx, server)
 			return nil
 		})
 	}
 	_ = polls.Wait()
 }
 
-func (w *Watcher) ask(ctx context.Context, server fleet.BackendServer, round uint32) {
+func (w *Watcher) ask(ctx context.Context, server fleet.BackendServer) {
 	ctx, cancel := context.WithTimeout(ctx, max(w.options.Interval, minPollTimeout))
 	defer cancel()
 	placement := w.options.Placement()
@@ -190,7 +204,7 @@
 	}
 	o := observed(server.Name, w.options.Self, state, placement, time.Now())
 	w.store(ctx, o)
-	w.publish(o, round)
+	w.publish(o)
 }
 
 // minPollTimeout is the shortest time a backend server has to answer.
@@ -202,6 +216,7 @@
 	o := w.newest[server]
 	o.Server, o.Silent = server, true
 	w.newest[server] = o
+	go w.publish(o)
 }
 
 func (w *Watcher) store(ctx context.Context, o Observation) {
@@ -213,24 +228,35 @@
 	}
 }
 
-// publish passes an observation on when it says something new, or when the
-// others would think that it is old.
-func (w *Watcher) publish(o Observation, round uint32) {
+// publish passes an observation on when it says something new.
+func (w *Watcher) publish(o Observation) {
 	w.mu.Lock()
 	last, known := w.published[o.Server]
-	due := !known || round-last.round >= refreshRounds || differs(last.observation, o)
+	due := !known || differs(last, o) || o.Observed != last.Observed && w.options.Questioned(o.Server)
 	if due {
-		w.published[o.Server] = publication{observation: o, round: round}
+		w.published[o.Server] = o
 	}
 	w.mu.Unlock()
 	if due {
-		w.options.Publish(itemPrefix+o.Server, o.encode(round))
+		w.options.Publish(itemPrefix+o.Server, o.encode())
+	}
+}
+
+// withdraw takes back what was published of a backend server that others observe
+// now.
+func (w *Watcher) withdraw(server string) {
+	w.mu.Lock()
+	_, published := w.published[server]
+	delete(w.published, server)
+	w.mu.Unlock()
+	if published {
+		w.options.Publish(itemPrefix+server, nil)
 	}
 }
 
 func differs(a, b Observation) bool {
 	sameIdentity := a.BootID == b.BootID && a.Group == b.Group && a.Epoch == b.Epoch &&
-		a.Loading == b.Loading && a.Cold == b.Cold && a.Leaving == b.Leaving
+		a.Loading == b.Loading && a.Cold == b.Cold && a.Leaving == b.Leaving && a.Silent == b.Silent
 	if !sameIdentity {
 		return true
 	}
--- a/internal/entry/modelrun.go
+++ b/internal/entry/modelrun.go
@@ -25,6 +25,8 @@
 	resumeDelay = 50 * time.Millisecond
 	// cancelTimeout bounds the call that ends an abandoned stream at its engine.
 	cancelTimeout = 2 * time.Second
+	// cancelRetry is the wait before that call is tried again.
+	cancelRetry = 250 * time.Millisecond
 	// callerHeartbeat is the longest silence of a stream towards its caller.
 	callerHeartbeat = 5 * time.Second
 )
@@ -37,30 +39,34 @@
 	where   placed
 	to      *answer
 	attempt int
+
+	client *engine.Client
+	call   engine.Request
+	held   bool // the engine may still hold the request
 }
 
 func (r *modelRun) run(ctx context.Context) *refusal {
-	call := engine.Request{
+	r.call = engine.Request{
 		ID:       uuid.NewString(),
 		Path:     pathOnly(r.req.Path),
 		Body:     r.req.Body,
 		Priority: r.req.Priority,
 		BootID:   r.where.Permit.Boot,
 	}
-	client := r.server.engineOf(r.where.Permit.Backend)
-	if client == nil {
+	r.client = r.server.engineOf(r.where.Permit.Backend)
+	if r.client == nil {
 		return r.lost("backend server %q is no longer configured", r.where.Permit.Backend)
 	}
 	r.server.noteCached(r.where, r.m)
 	if r.m.Stream {
-		return r.stream(ctx, client, call)
+		return r.stream(ctx)
 	}
-	return r.whole(ctx, client, call)
+	return r.whole(ctx)
 }
 
 // whole runs a request whose answer comes in one piece.
-func (r *modelRun) whole(ctx context.Context, client *engine.Client, call engine.Request) *refusal {
-	done, err := client.Complete(ctx, call)
+func (r *modelRun) whole(ctx context.Context) *refusal {
+	done, err := r.client.Complete(ctx, r.call)
 	if err != nil {
 		return r.failed(ctx, err)
 	}
@@ -74,29 +80,28 @@
 }
 
 // stream runs a request whose answer comes in chunks.
-func (r *modelRun) stream(ctx context.Context, client *engine.Client, call engine.Request) *refusal {
-	events, err := client.Stream(ctx, call)
+func (r *modelRun) stream(ctx context.Context) *refusal {
+	events, err := r.client.Stream(ctx, r.call)
 	if err != nil {
 		return r.failed(ctx, err)
 	}
 	defer func() { _ = events.Close() }()
+	r.held = true
 	if refused := r.checkIdentity(events.BootID, events.Group, events.Epoch); refused != nil {
 		return refused
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	buffer := stream.NewBuffer(call.ID, r.server.memory, stream.Options{})
+	buffer := stream.NewBuffer(r.call.ID, r.server.memory, stream.Options{})
 	defer buffer.Leave()
-	source := &engineStream{run: r, client: client, call: call, events: events, buffer: buffer}
+	source := &engineStream{run: r, client: r.client, call: r.call, events: events, buffer: buffer}
 	produced := make(chan struct{})
 	go func() {
 		defer close(produced)
 		source.pump(ctx)
 	}()
 	refused := r.deliver(ctx, buffer)
-	if refused != nil {
-		r.cancelAtEngine(ctx, client, call)
-	}
+	r.held = refused != nil
 	cancel()
 	<-produced
 	return refused
@@ -189,8 +194,13 @@
 func (r *modelRun) failed(ctx context.Context, err error) *refusal {
 	var refusedErr *engine.RefusedError
 	if errors.As(err, &refusedErr) && refusedErr.Status >= 400 && refusedErr.Status < 500 && refusedErr.Status != http.StatusTooManyRequests {
-		return notRun(refusedErr.Status, "bad-request", "the model engine refused: %s", engineMessage(refusedErr.Message))
+		refused := notRun(refusedErr.Status, "bad-request", "the model engine refused: %s", engineMessage(refusedErr.Message))
+		if !refusedErr.NotStarted {
+			refused.Outcome = outcomeUnknown
+		}
+		return refused
 	}
+	r.held = errors.Is(err, engine.ErrMaySent)
 	if ctx.Err() != nil {
 		return r.ended(ctx)
 	}
@@ -201,6 +211,10 @@
 	if errors.As(err, &refusedErr) {
 		refused.RetryAfter = refusedErr.RetryAfter
 	}
+	notStarted := refusedErr != nil && refusedErr.NotStarted
+	if notStarted || errors.Is(err, engine.ErrNotSent) {
+		refused.Outcome, refused.Status = outcomeNotRun, http.StatusServiceUnavailable
+	}
 	return refused
 }
 
@@ -241,10 +255,23 @@
 	return unknown("caller-lost", "the answer could not be delivered: %v", err)
 }
 
-func (r *modelRun) cancelAtEngine(ctx context.Context, client *engine.Client, call engine.Request) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+// cancelUntilGone ends a request at its engine. It returns when the engine has
+// confirmed that it no longer holds the request, or when the engine's process is
+// gone. Until then the request counts against the limits.
+func (r *modelRun) cancelUntilGone(ctx context.Context) {
+	for !r.cancelled(ctx) && sleep(ctx, cancelRetry) {
+	}
+}
+
+func (r *modelRun) cancelled(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	_ = client.Cancel(ctx, call)
+	err := r.client.Cancel(ctx, r.call)
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Status == http.StatusNotFound
+	}
+	return err == nil || errors.Is(err, engine.ErrBootChanged)
 }
 
 // engineMessage returns the text of an error in the engines' JSON form.
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -199,7 +199,16 @@
 	}
 	run := &modelRun{server: s, req: req, m: m, where: where, to: to, attempt: attempt.Number}
 	refused := run.run(ctx)
-	s.releasePermit(where, refused == nil)
+	if run.held {
+		done := s.hold()
+		go func() {
+			defer done()
+			run.cancelUntilGone(s.work)
+			s.releasePermit(where, false)
+		}()
+	} else {
+		s.releasePermit(where, refused == nil)
+	}
 	s.waiting.gate(m.Model).Served(m.PromptTokens + m.OutputTokens)
 	s.finished(req, where, refused)
 	return refused
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -56,10 +56,10 @@
 
 // runGranted sends the call once. Again is set when it certainly did not run.
 func (s *Server) runGranted(ctx context.Context, req *request, call serviceCall, grant *claim.Grant, key claim.Key, to *answer) (refused *refusal, again bool) {
-	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
 	permit, refused := s.placeService(ctx, req, call, "")
 	if refused != nil {
+		record, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+		defer cancel()
 		s.note(grant.Release(record, refused.Reason))
 		return refused, false
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,6 +51,7 @@
 	fleet     fleetList
 	check     group.Check
 	drain     drainState
+	work      context.Context // ends when nothing is left to do
 	counters  *counters
 
 	callersCertificate certificateFiles
@@ -125,9 +126,13 @@
 		Servers:   s.ownModelWorkers,
 		Rank:      s.observerRank,
 		Placement: func() placementOffset { return s.placement.State().Offset() },
-		Publish:   s.members.SetItem,
-		Members:   s.members.Alive,
-		Observed:  s.observed,
+		Questioned: func(server string) bool {
+			_, quarantined := s.placement.State().Quarantine(server)
+			return quarantined
+		},
+		Publish:  s.members.SetItem,
+		Members:  s.members.Alive,
+		Observed: s.observed,
 	})
 	s.control = &control.Controller{
 		Self:      s.process,
@@ -157,6 +162,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	s.work = work
 	listeners, err := s.listen()
 	if err != nil {
 		return err
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 	"time"
 
@@ -41,6 +43,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, call.service.RequestTimeout)
 		defer cancel()
+		req.Deadline, _ = ctx.Deadline()
 	}
 	if elsewhere, ok := s.serviceDataCentre(req, call.service.Name); ok {
 		s.forwardService(ctx, req, elsewhere, to)
@@ -57,12 +60,12 @@
 }
 
 func (s *Server) parseServiceCall(req *request) (serviceCall, *refusal) {
-	name, path, _ := strings.Cut(strings.TrimPrefix(req.Path, servicesPrefix), "/")
+	name, rest, _ := strings.Cut(strings.TrimPrefix(req.Path, servicesPrefix), "/")
 	service, known := s.config.State().Config().Service(name)
 	if !known {
 		return serviceCall{}, notRun(http.StatusNotFound, "no-such-service", "service %q does not exist", name)
 	}
-	call := serviceCall{service: service, path: "/" + path}
+	call := serviceCall{service: service, path: "/" + rest}
 	call.once = mayNotRepeat(service, req.Method, pathOnly(call.path))
 	if call.once && req.Header.Get(headerIdempotencyKey) == "" {
 		return serviceCall{}, badRequest("%s %s may not be repeated and needs the header %s with a UUID of version 7", req.Method, call.path, headerIdempotencyKey)
@@ -70,22 +73,53 @@
 	return call, nil
 }
 
-// mayNotRepeat reports whether a call matches one of the service's patterns. A
-// "*" at the end of a pattern stands for any rest.
+// mayNotRepeat reports whether a call matches one of the service's patterns.
 func mayNotRepeat(service fleet.Service, method, path string) bool {
 	for _, pattern := range service.NonIdempotent {
 		wantMethod, wantPath, _ := strings.Cut(pattern, " ")
-		if wantMethod != method {
-			continue
-		}
-		prefix, open := strings.CutSuffix(wantPath, "*")
-		if wantPath == path || open && strings.HasPrefix(path, prefix) {
+		if wantMethod == method && matchesPath(wantPath, path) {
 			return true
 		}
 	}
 	return false
 }
 
+// matchesPath compares a path with a pattern, part by part. A part in braces
+// stands for any one part, a "*" at the end for any rest. The path is compared as
+// a service would read it: decoded, without doubled or trailing slashes.
+func matchesPath(pattern, sent string) bool {
+	decoded, err := url.PathUnescape(sent)
+	if err != nil {
+		return true // what can't be read may be anything
+	}
+	prefix, open := strings.CutSuffix(pattern, "*")
+	if open && strings.HasPrefix(path.Clean(decoded), prefix) {
+		return true
+	}
+	want := strings.Split(path.Clean(pattern), "/")
+	got := strings.Split(path.Clean(decoded), "/")
+	if len(want) != len(got) {
+		return false
+	}
+	for i := range want {
+		wild := strings.HasPrefix(want[i], "{") && strings.HasSuffix(want[i], "}")
+		if !wild && want[i] != got[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// isSafe reports whether a method has no effect, or the same one when it is
+// repeated (RFC 9110, section 9.2).
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodPost, http.MethodPatch, http.MethodConnect:
+		return false
+	}
+	return true
+}
+
 // serviceDataCentre returns the data centre to forward to when this one has no
 // open worker of the service.
 func (s *Server) serviceDataCentre(req *request, service string) (string, bool) {
@@ -136,7 +170,11 @@
 		}
 		refused = serviceFailure(ctx, reply, err)
 		avoid = permit.Backend
-		next := s.retries.Next(time.Now(), attempt, retry.Failure{Server: avoid, Repeatable: true, RetryAfter: refused.RetryAfter})
+		next := s.retries.Next(time.Now(), attempt, retry.Failure{
+			Server:     avoid,
+			Repeatable: refused.Outcome == outcomeNotRun || isSafe(req.Method),
+			RetryAfter: refused.RetryAfter,
+		})
 		if next.Reason != retry.Allowed {
 			return refused.after(next.RetryAfter)
 		}
@@ -155,8 +193,12 @@
 		return notRun(http.StatusServiceUnavailable, "worker-refused", "the service's worker did not start the call").after(reply.RetryAfter)
 	case errors.Is(err, engine.ErrNotSent):
 		return notRun(http.StatusServiceUnavailable, "worker-unreachable", "the service's worker could not be reached: %v", err).after(time.Second)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refused := unknown("deadline", "the deadline passed before the service answered")
+		refused.Status = http.StatusGatewayTimeout
+		return refused
 	case ctx.Err() != nil:
-		return unknown("deadline", "the deadline passed before the service answered")
+		return unknown("cancelled", "the call was cancelled before the service answered")
 	}
 	return unknown("worker-lost", "the service's worker did not answer: %v", err)
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -91,9 +91,9 @@
 			BackendIdleTimeout: 10 * time.Second,
 		},
 		Heartbeat: Heartbeat{
-			Peers:    500 * time.Millisecond,
-			Backends: 500 * time.Millisecond,
-			Platform: time.Second,
+			Peers:    time.Second,
+			Backends: time.Second,
+			Platform: 2 * time.Second,
 		},
 		Shutdown: Shutdown{BalancerDelay: 2 * time.Second, Deadline: 2 * time.Minute},
 	}
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -29,6 +29,14 @@
 	return s.release, nil
 }
 
+// hold takes note of work that a graceful shutdown has to wait for.
+func (s *Server) hold() (done func()) {
+	s.drain.mu.Lock()
+	defer s.drain.mu.Unlock()
+	s.drain.inHand++
+	return s.release
+}
+
 func (s *Server) release() {
 	d := &s.drain
 	d.mu.Lock()
