entry: early refusals are logged and counted, a drain is known before it ends

A draining group counts one open request for each living entry instance that has not said that it knows of the drain. Complete counts services and forwarded requests too. Refusals before a request is read have an ID, a log line and a count.

--- a/cmd/chicorystall/main.go
+++ b/cmd/chicorystall/main.go
@@ -90,7 +90,7 @@
 			versionCommand(stdout, stderr),
 		},
 	}
-	root.Exec = needCommand(root)
+	root.Exec = needCommand(root.Name)
 	return root
 }
 
@@ -101,12 +101,12 @@
 }
 
 // needCommand is the action of a command that only has subcommands.
-func needCommand(command *ffcli.Command) func(context.Context, []string) error {
+func needCommand(name string) func(context.Context, []string) error {
 	return func(_ context.Context, args []string) error {
 		if len(args) > 0 {
-			return usagef("command %q does not exist, see %s -h", args[0], command.Name)
+			return usagef("command %q does not exist, see %s -h", args[0], name)
 		}
-		return usagef("a command is missing, see %s -h", command.Name)
+		return usagef("a command is missing, see %s -h", name)
 	}
 }
 
@@ -119,6 +119,6 @@
 		FlagSet:     newFlags(name, stderr),
 		Subcommands: children,
 	}
-	command.Exec = needCommand(command)
+	command.Exec = needCommand("chicorystall " + name)
 	return command
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -32,7 +32,7 @@
 	mux.HandleFunc("POST /v1/completions", s.authenticated(s.serveRequest))
 	mux.HandleFunc("/services/{service}/{path...}", s.authenticated(s.serveRequest))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		refuse(w, notRun(http.StatusNotFound, "no-such-path", "path %q is not served", r.URL.Path))
+		s.refuse(w, r, "", notRun(http.StatusNotFound, "no-such-path", "path %q is not served", r.URL.Path))
 	})
 	return mux
 }
@@ -58,7 +58,7 @@
 		key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		account, known := s.accountByKey(key)
 		if !found || !known {
-			refuse(w, notRun(http.StatusUnauthorized, "unknown-account", "the bearer key belongs to no client account"))
+			s.refuse(w, r, "", notRun(http.StatusUnauthorized, "unknown-account", "the bearer key belongs to no client account"))
 			return
 		}
 		next(w, r, account)
@@ -89,14 +89,14 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, account string) {
 	done, refused := s.admit()
 	if refused != nil {
-		refuse(w, refused)
+		s.refuse(w, r, account, refused)
 		return
 	}
 	defer done()
 
 	req, refused := s.readRequest(w, r, account)
 	if refused != nil {
-		refuse(w, refused)
+		s.refuse(w, r, account, refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -189,7 +189,11 @@
 	}
 }
 
-func refuse(w http.ResponseWriter, refused *refusal) {
-	id := w.Header().Get(headerRequestID)
-	_ = refused.send(callerAnswer(w, id))
+// refuse answers a request that was not read, and logs and counts the refusal.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, account string, refused *refusal) {
+	req := &request{ID: r.Header.Get(headerRequestID), Account: account}
+	if req.ID == "" || len(req.ID) > maxRequestIDBytes {
+		req.ID = uuid.NewString()
+	}
+	s.refuseRequest(req, callerAnswer(w, req.ID), refused)
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -48,10 +48,9 @@
 	}
 }
 
-// finished counts and logs the end of a request at a backend server.
+// finished logs the end of a request at a backend server.
 func (s *Server) finished(req *request, where placed, refused *refusal) {
 	if refused == nil {
-		s.counters.add("Complete", 1)
 		return
 	}
 	s.log.WithFields(logrus.Fields{
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -18,6 +18,7 @@
 	"github.com/chicorystall/chicorystall/pkg/journal"
 	"github.com/chicorystall/chicorystall/pkg/lease"
 	"github.com/chicorystall/chicorystall/pkg/limit"
+	"github.com/chicorystall/chicorystall/pkg/member"
 	"github.com/chicorystall/chicorystall/pkg/placement"
 	"github.com/chicorystall/chicorystall/pkg/route"
 )
@@ -93,6 +94,7 @@
 		}
 	}
 	s.countOpen(in.InFlight)
+	s.notSeen(in.InFlight)
 	for name, o := range s.watcher.Observations() {
 		in.Leaving[name] = o.Leaving
 	}
@@ -132,6 +134,31 @@
 	}
 }
 
+// notSeen adds one request to each draining group for each living entry instance
+// that has not yet said that it knows of the drain.
+func (s *Server) notSeen(byGroup map[string]int) {
+	for _, g := range s.placement.State().Groups() {
+		if g.Phase != placement.PhaseDraining {
+			continue
+		}
+		for _, row := range s.members.Alive() {
+			if row.Name != s.settings.Name && !knowsDrain(row, g.Name) {
+				byGroup[g.Name]++
+			}
+		}
+	}
+}
+
+func knowsDrain(row member.Row, group string) bool {
+	var report peerpb.InstanceReport
+	item, published := row.Item(openItem)
+	if !published || proto.Unmarshal(item.Value, &report) != nil {
+		return false
+	}
+	_, known := report.GetInFlight()[group]
+	return known
+}
+
 // publishOpen tells the others how many requests this instance has open at groups
 // that are draining. Others need not know: their counts change all the time.
 func (s *Server) publishOpen(ctx context.Context) error {
@@ -140,8 +167,8 @@
 	for {
 		report := &peerpb.InstanceReport{InFlight: make(map[string]int32)}
 		for _, g := range s.placement.State().Groups() {
-			if open := s.open.of(g.Name); open > 0 && g.Phase == placement.PhaseDraining {
-				report.InFlight[g.Name] = int32(open)
+			if g.Phase == placement.PhaseDraining {
+				report.InFlight[g.Name] = int32(s.open.of(g.Name))
 			}
 		}
 		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(report)
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -216,14 +216,14 @@
 
 func (s *Server) logDecision(req *request, where placed) {
 	s.log.WithFields(logrus.Fields{
-		"request":      req.ID,
-		"account":      req.Account,
-		"group":        where.Decision.Group,
-		"epoch":        where.Decision.Epoch,
-		"instance":     where.Decision.Backend,
-		"data_centre":  where.Decision.DataCentre,
-		"reason":       where.Decision.Reason.String(),
-		"cached_token": where.Decision.CachedTokens,
+		"request":       req.ID,
+		"account":       req.Account,
+		"group":         where.Decision.Group,
+		"epoch":         where.Decision.Epoch,
+		"instance":      where.Decision.Backend,
+		"data_centre":   where.Decision.DataCentre,
+		"reason":        where.Decision.Reason.String(),
+		"cached_tokens": where.Decision.CachedTokens,
 	}).Info("routing decision")
 }
 
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -97,6 +97,7 @@
 // send gives the refusal to the caller: as the whole answer when nothing was
 // sent yet, else as a last event that is not the end mark.
 func (r *refusal) send(to *answer) error {
+	to.refused = true
 	if !to.started {
 		return to.whole(r.Status, r.header(), r.body())
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -48,6 +48,7 @@
 
 	started bool // Head was called
 	ended   bool // the answer is whole
+	refused bool // it is a refusal
 }
 
 func (a *answer) head(status int, header http.Header) error {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,9 +33,12 @@
 	}
 	if strings.HasPrefix(req.Path, servicesPrefix) {
 		s.serveService(ctx, req, to)
-		return
+	} else {
+		s.serveModel(ctx, req, to)
+	}
+	if to.ended && !to.refused {
+		s.counters.add("Complete", 1)
 	}
-	s.serveModel(ctx, req, to)
 }
 
 // notServing returns why no request can be served, or nothing.
