entry: tests of the callers' API, request ID and outcome on every answer

Cause: answers given before the body was read (unknown key, unknown path, large body, bad limits) did not echo X-Request-Id; GET /v1/models had no Outcome; a streamed answer could not carry one; a header above the limit got a bare 431. Change: the ID is set before anything else, a header above the limit is refused in the form of all refusals (net/http still answers those above twice the limit), and a whole stream ends with the trailer field Outcome.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -34,7 +34,42 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, notRun(http.StatusNotFound, "no-such-path", "path %q is not served", r.URL.Path))
 	})
-	return mux
+	return s.identified(mux)
+}
+
+// identified gives each answer the ID of its request, and refuses requests whose
+// header is too large.
+func (s *Server) identified(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerRequestID)
+		tooLong := len(id) > maxRequestIDBytes
+		if id == "" || tooLong {
+			id = uuid.NewString()
+		}
+		r.Header.Set(headerRequestID, id)
+		w.Header().Set(headerRequestID, id)
+		limit := s.settings.Limits.MaxHeaderBytes
+		switch {
+		case tooLong:
+			refuse(w, notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes))
+		case headerBytes(r) > limit:
+			refuse(w, notRun(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than %d bytes", limit))
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// headerBytes returns the size of the request line and the header fields.
+func headerBytes(r *http.Request) int {
+	const separators = 4 // colon, space and line end
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + separators
+		}
+	}
+	return total
 }
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
@@ -83,6 +118,7 @@
 		list.Data = append(list.Data, modelItem{ID: model, Object: "model", OwnedBy: "chicorystall"})
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerOutcome, outcomeComplete.String())
 	_ = json.NewEncoder(w).Encode(list)
 }
 
@@ -129,12 +165,6 @@
 		Header:  r.Header,
 		Body:    body,
 	}
-	if req.ID == "" {
-		req.ID = uuid.NewString()
-	}
-	if len(req.ID) > maxRequestIDBytes {
-		return nil, notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes)
-	}
 	return req, s.readLimits(req)
 }
 
@@ -165,8 +195,9 @@
 	return nil
 }
 
-// callerAnswer writes an answer to an HTTP caller. A cut answer closes the
-// connection, so that a caller can always tell it from a whole one.
+// callerAnswer writes an answer to an HTTP caller. The outcome of a streamed
+// answer is a trailer field. A cut answer closes the connection, so that a caller
+// can always tell it from a whole one.
 func callerAnswer(w http.ResponseWriter, requestID string) *answer {
 	control := http.NewResponseController(w)
 	return &answer{
@@ -175,6 +206,9 @@
 				w.Header()[name] = values
 			}
 			w.Header().Set(headerRequestID, requestID)
+			if header.Get(headerOutcome) == "" {
+				w.Header().Set("Trailer", headerOutcome)
+			}
 			w.WriteHeader(status)
 			return nil
 		},
@@ -185,7 +219,12 @@
 			}
 			return control.Flush()
 		},
-		End: func() error { return nil },
+		End: func() error {
+			if w.Header().Get(headerOutcome) == "" {
+				w.Header().Set(headerOutcome, outcomeComplete.String())
+			}
+			return nil
+		},
 	}
 }
 
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -14,6 +14,10 @@
 	"github.com/chicorystall/chicorystall/internal/peer"
 )
 
+// headerReadFactor is how much more than the limit of a header is read, so that
+// most headers above the limit get a refusal in the form of all others.
+const headerReadFactor = 2
+
 // listenAddresses are the addresses that the listeners have got.
 type listenAddresses struct {
 	Callers   string
@@ -101,7 +105,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: s.settings.Limits.HeaderTimeout,
-		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
+		MaxHeaderBytes:    headerReadFactor * s.settings.Limits.MaxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
@@ -10,13 +11,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// certificateRecheck is how often the files of a certificate are looked at.
-const certificateRecheck = 10 * time.Second
+// defaultCertificateRecheck is how often the files of a certificate are looked at.
+const defaultCertificateRecheck = 10 * time.Second
 
 // certificateFiles reads a certificate again when its files change, so that keys
 // can be replaced without a restart.
 type certificateFiles struct {
 	TLSFiles
+	recheck time.Duration // between two looks at the files; 0 counts as defaultCertificateRecheck
 
 	mu       sync.Mutex
 	checked  time.Time
@@ -30,7 +32,7 @@
 func (c *certificateFiles) load(now time.Time) (*tls.Certificate, *x509.CertPool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != nil && now.Sub(c.checked) < certificateRecheck {
+	if c.current != nil && now.Sub(c.checked) < cmp.Or(c.recheck, defaultCertificateRecheck) {
 		return c.current, c.pool, nil
 	}
 	c.checked = now
