--- a/internal/measure/control_test.go
+++ b/internal/measure/control_test.go
@@ -36,6 +36,7 @@
 }
 
 func TestControlCostOfAProcess(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	cost, err := measureControl(controlSize{dataCentres: 1, entries: 2, groups: 1, groupSize: 1}, 500*time.Millisecond)
 	g.Expect(err).NotTo(HaveOccurred())
