entry: TLS tests; a certificate older than the other files is used

Cause: only the newest modification time of the certificate, key and authority files was kept, so a pair that took the place of another was passed over as long as the authority file was newer than both.

--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -22,7 +22,7 @@
 
 	mu       sync.Mutex
 	checked  time.Time
-	modified time.Time
+	modified modifications
 	current  *tls.Certificate
 	pool     *x509.CertPool
 }
@@ -44,11 +44,11 @@
 }
 
 func (c *certificateFiles) reload() error {
-	modified, err := newestModification(c.CertificateFile, c.KeyFile, c.AuthorityFile)
+	modified, err := c.modifications()
 	if err != nil {
 		return err
 	}
-	if c.current != nil && modified.Equal(c.modified) {
+	if c.current != nil && modified == c.modified {
 		return nil
 	}
 	certificate, err := tls.LoadX509KeyPair(c.CertificateFile, c.KeyFile)
@@ -63,21 +63,24 @@
 	return nil
 }
 
-func newestModification(files ...string) (time.Time, error) {
-	var newest time.Time
-	for _, file := range files {
+// modifications are the modification times of the certificate, the key and the
+// authorities, in nanoseconds since 1970. A file that takes the place of another
+// may be older than the other two.
+type modifications [3]int64
+
+func (f TLSFiles) modifications() (modifications, error) {
+	var all modifications
+	for n, file := range []string{f.CertificateFile, f.KeyFile, f.AuthorityFile} {
 		if file == "" {
 			continue
 		}
 		info, err := os.Stat(file)
 		if err != nil {
-			return time.Time{}, errors.Wrap(err, "look at certificate file")
-		}
-		if info.ModTime().After(newest) {
-			newest = info.ModTime()
+			return modifications{}, errors.Wrap(err, "look at certificate file")
 		}
+		all[n] = info.ModTime().UnixNano()
 	}
-	return newest, nil
+	return all, nil
 }
 
 func readAuthorities(file string) (*x509.CertPool, error) {
