entry: redirects carry an outcome

Cause: net/http's mux answered paths with empty or dot elements, and a service without a path, by a bare redirect without Outcome. Change: the callers' handler sends these redirects itself, with Outcome not-run and reason moved; targets are the same as before. Conclusion: three rows of TestAnswersOfTheCallersAPI fail without the change and pass with it and the race detector.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +31,9 @@
 	mux.HandleFunc("GET /v1/models", s.authenticated(s.serveModels))
 	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.serveRequest))
 	mux.HandleFunc("POST /v1/completions", s.authenticated(s.serveRequest))
+	mux.HandleFunc("/services/{service}", func(w http.ResponseWriter, r *http.Request) {
+		redirect(w, r, r.URL.EscapedPath()+"/")
+	})
 	mux.HandleFunc("/services/{service}/{path...}", s.authenticated(s.serveRequest))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, notRun(http.StatusNotFound, "no-such-path", "path %q is not served", r.URL.Path))
@@ -54,12 +58,34 @@
 			refuse(w, notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes))
 		case headerBytes(r) > limit:
 			refuse(w, notRun(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than %d bytes", limit))
+		case cleanPath(r) != r.URL.EscapedPath():
+			redirect(w, r, cleanPath(r))
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
 
+// cleanPath returns the request's path without empty and dot elements.
+func cleanPath(r *http.Request) string {
+	asked := r.URL.EscapedPath()
+	clean := path.Clean("/" + asked)
+	if strings.HasSuffix(asked, "/") && clean != "/" {
+		clean += "/"
+	}
+	return clean
+}
+
+// redirect sends a caller to another path. The request did not run.
+func redirect(w http.ResponseWriter, r *http.Request, to string) {
+	w.Header().Set(headerOutcome, outcomeNotRun.String())
+	w.Header().Set(headerReason, "moved")
+	if r.URL.RawQuery != "" {
+		to += "?" + r.URL.RawQuery
+	}
+	http.Redirect(w, r, to, http.StatusTemporaryRedirect)
+}
+
 // headerBytes returns the size of the request line and the header fields.
 func headerBytes(r *http.Request) int {
 	const separators = 4 // colon, space and line end
