deployment: ports outside of those for outgoing connections

Change: ports from below that range, each one once; Await returns the error of an entry instance that ended. That this was the cause is likely, not shown: the failure was not provoked.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -280,6 +282,8 @@
 			return nil
 		}
 		select {
+		case <-e.done:
+			return errors.Wrapf(e.err, "entry instance %q ended", e.Settings.Name)
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "entry instance %q waits for its groups: %+v", e.Settings.Name, status.Groups)
 		case <-time.After(20 * time.Millisecond):
@@ -299,16 +303,33 @@
 	return true
 }
 
-// FreeAddresses returns loopback addresses that were free a moment ago.
+// The ports that FreeAddresses chooses from lie below those that the system gives
+// to outgoing connections, which could take one before it is listened at.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// lastTried is the port that was tried last.
+var lastTried atomic.Uint32
+
+func init() { lastTried.Store(uint32(rand.IntN(lastPort - firstPort))) }
+
+// FreeAddresses returns loopback addresses that were free a moment ago, each one
+// only once.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		port := firstPort + lastTried.Add(1)%(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = listener.Close() }()
+		_ = listener.Close()
 		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return nil, errors.Newf("no %d ports from %d to %d are free", count, firstPort, lastPort)
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -55,9 +55,9 @@
 		limit := s.settings.Limits.MaxHeaderBytes
 		switch {
 		case tooLong:
-			refuse(w, notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes))
+			s.refuse(w, r, "", notRun(http.StatusBadRequest, "bad-header", "%s is longer than %d bytes", headerRequestID, maxRequestIDBytes))
 		case headerBytes(r) > limit:
-			refuse(w, notRun(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than %d bytes", limit))
+			s.refuse(w, r, "", notRun(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than %d bytes", limit))
 		case cleanPath(r) != r.URL.EscapedPath():
 			redirect(w, r, cleanPath(r))
 		default:
@@ -257,8 +257,5 @@
 // refuse answers a request that was not read, and logs and counts the refusal.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, account string, refused *refusal) {
 	req := &request{ID: r.Header.Get(headerRequestID), Account: account}
-	if req.ID == "" || len(req.ID) > maxRequestIDBytes {
-		req.ID = uuid.NewString()
-	}
 	s.refuseRequest(req, callerAnswer(w, req.ID), refused)
 }
