route, entry: a neighbour in cold start is found, a cut is told once

Cause: with the own worker gone no request reached the other data centre (rows forwarded of TestStreamsTellHowTheyEnd): a neighbour in cold start has room for one request, half of which is below one, so nothing was ever forwarded. Excluded: the contact (its reports arrived), the drain mark, the ramp (full). Change: an entry instance may always forward one request between two reports of a neighbour with room. A forwarded answer that was cut says so, and its caller is told once.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -34,6 +34,11 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, errToldCut) {
+		refused := unknown("backend-lost", "entry instance %q told that its answer was cut", name)
+		refused.told = true
+		return refused
+	}
 	refused := unknown("peer-lost", "entry instance %q did not send the whole answer: %v", name, err)
 	refused.retriable = true
 	return refused
@@ -59,6 +64,10 @@
 	return out
 }
 
+// errToldCut reports an answer whose cut its caller was told by the entry instance
+// that ran the request.
+var errToldCut = errors.New("answer was cut")
+
 // takeForwarded passes one chunk of a forwarded answer on.
 func takeForwarded(chunk *peerpb.ForwardChunk, to *answer) error {
 	if chunk.GetStatus() != 0 {
@@ -71,6 +80,9 @@
 			return err
 		}
 	}
+	if chunk.GetCut() {
+		return errToldCut
+	}
 	if chunk.GetEnd() {
 		return to.end()
 	}
@@ -110,7 +122,7 @@
 	to := out.answer()
 	s.serve(ctx, req, to)
 	if !out.ended() {
-		return errors.Newf("answer to request %q was cut", req.ID)
+		return out.write(&peerpb.ForwardChunk{Cut: true})
 	}
 	return nil
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -30,6 +30,7 @@
 	RetryAfter time.Duration
 
 	retriable bool // the request may be tried at another place
+	told      bool // the caller was told by another entry instance
 }
 
 func (r *refusal) Error() string {
@@ -98,6 +99,9 @@
 // sent yet, else as a last event that is not the end mark.
 func (r *refusal) send(to *answer) error {
 	to.refused = true
+	if r.told && to.started {
+		return nil
+	}
 	if !to.started {
 		return to.whole(r.Status, r.header(), r.body())
 	}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -190,8 +190,13 @@
 		if !v.on(guardSpill) {
 			return 1
 		}
+		if dc.Room < 1 || dc.Ramp <= 0 {
+			return 0
+		}
+		// One request is always allowed, so that a neighbour in cold start, whose
+		// room is a single request, is found at all.
 		allowed := float64(dc.Room) * dc.Ramp * v.tuning.SpillShare / float64(v.senders)
-		return allowed - float64(dc.SpillSent)
+		return max(allowed, 1) - float64(dc.SpillSent)
 	}
 	return 0
 }
