cli, oracle: one piece for what stood in three programs and three packages

The programs' exit codes, usage errors and signal handling stand in internal/cli; the settings of rapid and the search for a violation with a guard off stand in internal/oracle.

--- a/cmd/chicorystall-fake/commands.go
+++ b/cmd/chicorystall-fake/commands.go
@@ -8,6 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/fake"
 	"github.com/chicorystall/chicorystall/internal/fake/desk"
 	"github.com/chicorystall/chicorystall/internal/fake/platform"
@@ -18,7 +19,7 @@
 const anyPort = "127.0.0.1:0"
 
 func platformCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlagSet("platform", stderr)
+	flags := cli.Flags("platform", stderr)
 	var config platform.Config
 	listen := flags.String("listen", anyPort, "`address` to listen at")
 	flags.DurationVar(&config.MaxAge, "max-age", 0, "age at which a log entry expires; 0 keeps all")
@@ -66,7 +67,7 @@
 }
 
 func workerCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlagSet("worker", stderr)
+	flags := cli.Flags("worker", stderr)
 	var config worker.Config
 	var place place
 	listen := flags.String("listen", anyPort, "`address` to listen at")
@@ -116,7 +117,7 @@
 }
 
 func serviceCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlagSet("service", stderr)
+	flags := cli.Flags("service", stderr)
 	var config desk.Config
 	var place place
 	listen := flags.String("listen", anyPort, "`address` to listen at")
--- a/cmd/chicorystall-measure/commands.go
+++ b/cmd/chicorystall-measure/commands.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/measure"
 )
 
@@ -18,10 +19,10 @@
 		Name:       "list",
 		ShortUsage: "chicorystall-measure list",
 		ShortHelp:  "Lists the measurements.",
-		FlagSet:    newFlags("list", stderr),
+		FlagSet:    cli.Flags("list", stderr),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return usagef("list takes no arguments")
+				return cli.Usagef("list takes no arguments")
 			}
 			const padding = 2
 			table := tabwriter.NewWriter(stdout, 0, 0, padding, ' ', 0)
@@ -39,7 +40,7 @@
 }
 
 func runCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags("run", stderr)
+	flags := cli.Flags("run", stderr)
 	seed := flags.Uint64("seed", 1, "`seed` of all that is random")
 	var out outputs
 	flags.StringVar(&out.json, "json", "", "write the table as JSON to the `file`")
@@ -55,14 +56,14 @@
 				return err
 			}
 			if len(args) != 1 {
-				return usagef("run takes the NAME of one measurement, see list")
+				return cli.Usagef("run takes the NAME of one measurement, see list")
 			}
 			m, known := measure.Find(args[0])
 			if !known {
-				return usagef("measurement %q does not exist, see list", args[0])
+				return cli.Usagef("measurement %q does not exist, see list", args[0])
 			}
 			if extension := filepath.Ext(out.plot); out.plot != "" && extension != ".svg" && extension != ".png" {
-				return usagef("plot file %q ends neither in .svg nor in .png", out.plot)
+				return cli.Usagef("plot file %q ends neither in .svg nor in .png", out.plot)
 			}
 			return runMeasure(ctx, stdout, stderr, m, *seed, out)
 		},
@@ -75,7 +76,7 @@
 		return args, nil
 	}
 	if err := parse(args[1:]); err != nil {
-		return nil, usagef("%v", err)
+		return nil, cli.Usagef("%v", err)
 	}
 	return args[:1], nil
 }
--- a/cmd/chicorystall/check.go
+++ b/cmd/chicorystall/check.go
@@ -8,12 +8,13 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/entry"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 )
 
 func checkCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags("check", stderr)
+	flags := cli.Flags("check", stderr)
 	asJSON := flags.Bool("json", false, "print the findings as JSON")
 	return &ffcli.Command{
 		Name:       "check",
@@ -24,7 +25,7 @@
 		FlagSet: flags,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
-				return usagef("check needs a file")
+				return cli.Usagef("check needs a file")
 			}
 			findings, err := checkFiles(args)
 			if err != nil {
@@ -66,7 +67,7 @@
 		fmt.Fprintln(stdout, findings.Error())
 	}
 	if len(findings) > 0 {
-		return errReported
+		return cli.ErrReported
 	}
 	return nil
 }
--- a/cmd/chicorystall/command.go
+++ b/cmd/chicorystall/command.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/operator"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 )
@@ -45,7 +46,7 @@
 // changeCommand returns a command that records a change and tells where it is in
 // force.
 func changeCommand(parentName string, c change, stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags(c.name, stderr)
+	flags := cli.Flags(c.name, stderr)
 	var to target
 	to.registerChange(flags)
 	return &ffcli.Command{
@@ -55,7 +56,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != c.args {
-				return usagef("%s %s takes %s", parentName, c.name, c.usage)
+				return cli.Usagef("%s %s takes %s", parentName, c.name, c.usage)
 			}
 			command, err := c.command(args)
 			if err != nil {
@@ -83,7 +84,7 @@
 		printResult(stdout, result)
 	}
 	if !result.Accepted {
-		return errReported
+		return cli.ErrReported
 	}
 	return nil
 }
--- a/cmd/chicorystall/demo.go
+++ b/cmd/chicorystall/demo.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/deployment"
 	"github.com/chicorystall/chicorystall/internal/fake/worker"
 	"github.com/chicorystall/chicorystall/internal/load"
@@ -23,7 +24,7 @@
 )
 
 func demoCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags("demo", stderr)
+	flags := cli.Flags("demo", stderr)
 	seed := flags.Uint64("seed", 1, "`seed` of the load")
 	verbose := flags.Bool("v", false, "log what the entry instances decide")
 	return &ffcli.Command{
@@ -34,7 +35,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
-				return usagef("demo takes no arguments")
+				return cli.Usagef("demo takes no arguments")
 			}
 			logger := logrus.New()
 			logger.SetOutput(io.Discard)
@@ -189,7 +190,7 @@
 		fmt.Fprintln(out, "BROKEN:", promise)
 	}
 	if len(broken) > 0 {
-		return errReported
+		return cli.ErrReported
 	}
 	fmt.Fprintln(out, "every outcome kept its promise")
 	return nil
--- a/cmd/chicorystall/fleet.go
+++ b/cmd/chicorystall/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/operator"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 )
@@ -131,7 +132,7 @@
 	parentName, name, usage, help string, args int, stdout, stderr io.Writer,
 	pick func(operator.Configuration, []string) (value any, rows [][]string, err error),
 ) *ffcli.Command {
-	flags := newFlags(name, stderr)
+	flags := cli.Flags(name, stderr)
 	var from target
 	from.register(flags)
 	return &ffcli.Command{
@@ -141,7 +142,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, given []string) error {
 			if len(given) != args {
-				return usagef("%s %s takes %d arguments", parentName, name, args)
+				return cli.Usagef("%s %s takes %d arguments", parentName, name, args)
 			}
 			config, err := from.client().Configuration(ctx)
 			if err != nil {
@@ -169,7 +170,7 @@
 
 // drainCommand records a drain mark, or tells it to one entry instance directly.
 func drainCommand(name, help string, drained bool, stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags(name, stderr)
+	flags := cli.Flags(name, stderr)
 	var to target
 	to.registerChange(flags)
 	direct := flags.Bool("direct", false, "tell only this entry instance, without the log")
@@ -180,7 +181,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
-				return usagef("datacentre %s takes NAME", name)
+				return cli.Usagef("datacentre %s takes NAME", name)
 			}
 			if *direct {
 				return to.override(ctx, stdout, operator.Override{DataCentre: args[0], Drained: drained})
@@ -206,7 +207,7 @@
 		fmt.Fprintln(stdout, result.Error)
 	}
 	if !result.Accepted {
-		return errReported
+		return cli.ErrReported
 	}
 	return nil
 }
--- a/cmd/chicorystall/serve.go
+++ b/cmd/chicorystall/serve.go
@@ -10,11 +10,12 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/entry"
 )
 
 func serveCommand(stderr io.Writer) *ffcli.Command {
-	flags := newFlags("serve", stderr)
+	flags := cli.Flags("serve", stderr)
 	config := flags.String("config", "", "settings `file` of this entry instance")
 	level := flags.String("log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	return &ffcli.Command{
@@ -26,7 +27,7 @@
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if *config == "" || len(args) > 0 {
-				return usagef("serve needs -config FILE and nothing else")
+				return cli.Usagef("serve needs -config FILE and nothing else")
 			}
 			settings, err := entry.ReadSettings(*config)
 			if err != nil {
@@ -70,7 +71,7 @@
 func newLogger(out io.Writer, level string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return nil, usagef("%v", err)
+		return nil, cli.Usagef("%v", err)
 	}
 	logger := logrus.New()
 	logger.SetOutput(out)
--- a/cmd/chicorystall/status.go
+++ b/cmd/chicorystall/status.go
@@ -10,11 +10,12 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/chicorystall/chicorystall/internal/cli"
 	"github.com/chicorystall/chicorystall/internal/operator"
 )
 
 func statusCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags("status", stderr)
+	flags := cli.Flags("status", stderr)
 	var from target
 	from.register(flags)
 	all := flags.Bool("instances", true, "ask all other entry instances too")
@@ -25,7 +26,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
-				return usagef("status takes no arguments")
+				return cli.Usagef("status takes no arguments")
 			}
 			status, err := from.client().Status(ctx, *all)
 			if err != nil {
@@ -95,7 +96,7 @@
 		Name:       "version",
 		ShortUsage: "chicorystall version",
 		ShortHelp:  "Prints the version.",
-		FlagSet:    newFlags("version", stderr),
+		FlagSet:    cli.Flags("version", stderr),
 		Exec: func(context.Context, []string) error {
 			version := "development"
 			if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
--- /dev/null
+++ b/pkg/lease/main_test.go
@@ -0,0 +1,9 @@
+package lease
+
+import (
+	"testing"
+
+	"github.com/chicorystall/chicorystall/internal/oracle"
+)
+
+func TestMain(m *testing.M) { oracle.Main(m, 1000, 60) }
--- /dev/null
+++ b/pkg/placement/main_test.go
@@ -0,0 +1,9 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/chicorystall/chicorystall/internal/oracle"
+)
+
+func TestMain(m *testing.M) { oracle.Main(m, 400, 100) }
