--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,12 +11,6 @@
 	"github.com/chicorystall/chicorystall/pkg/limit"
 )
 
-// lendersAsked is how many members one Acquire asks for a loan.
-const lendersAsked = 3
-
-// loanPatience is how long a request for a loan waits at a lender.
-const loanPatience = time.Second
-
 // Call sends a message to a member and returns its answer.
 type Call func(ctx context.Context, to limit.Member, message []byte) ([]byte, error)
 
@@ -201,91 +194,6 @@
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Abandon(backend) })
 }
 
-// askLater asks for a loan in the background, once at a time for a backend
-// server. Only a member without a share of its own waits at a lender: what waits
-// there keeps the lender's own requests back.
-func (b *Book) askLater(ctx context.Context, backend string, refused *limit.Refusal) {
-	if refused.Missing.IsZero() || len(refused.Lenders) == 0 {
-		return
-	}
-	b.mu.Lock()
-	asked := b.asking[backend]
-	b.asking[backend] = true
-	b.mu.Unlock()
-	if asked {
-		return
-	}
-	go func() {
-		b.askLenders(ctx, backend, refused)
-		b.mu.Lock()
-		delete(b.asking, backend)
-		b.mu.Unlock()
-	}()
-}
-
-func (b *Book) askLenders(ctx context.Context, backend string, refused *limit.Refusal) {
-	b.mu.Lock()
-	wait := b.ledger.Share(backend).Requests == 0
-	b.mu.Unlock()
-	for i, lender := range refused.Lenders[:min(lendersAsked, len(refused.Lenders))] {
-		if b.borrow(ctx, backend, lender, refused.Missing, wait && i == 0) {
-			return
-		}
-	}
-}
-
-// awaitReply waits until a loan that waits at its lender has its final reply, and
-// gives it up when it takes too long: the reply may have been lost.
-func (b *Book) awaitReply(ctx context.Context, id limit.LoanID) {
-	ctx, cancel := context.WithTimeout(ctx, loanPatience)
-	defer cancel()
-	for {
-		freed := b.Freed()
-		b.mu.Lock()
-		awaits := b.ledger.Awaits(id)
-		b.mu.Unlock()
-		if !awaits {
-			return
-		}
-		select {
-		case <-freed:
-		case <-ctx.Done():
-			b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.GiveUp(id) })
-			return
-		}
-	}
-}
-
-// borrow asks one lender and reports whether a loan came that can be used. With
-// wait set the lender may reply later.
-func (b *Book) borrow(ctx context.Context, backend string, lender limit.Member, amount limit.Amount, wait bool) bool {
-	b.mu.Lock()
-	request := b.ledger.Borrow(backend, lender, amount, wait)
-	b.mu.Unlock()
-	answer, err := b.send(ctx, lender, message{Requests: []limit.LoanRequest{request}})
-	if err != nil {
-		b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.GiveUp(request.ID) })
-		return false
-	}
-	usable := b.accept(ctx, answer.Replies)
-	if wait && !usable {
-		b.awaitReply(ctx, request.ID)
-	}
-	return usable
-}
-
-func (b *Book) accept(ctx context.Context, replies []limit.LoanReply) bool {
-	usable := false
-	for _, reply := range replies {
-		b.update(ctx, func(l *limit.Ledger) limit.Outbox {
-			accepted, out := l.Accept(reply)
-			usable = usable || accepted
-			return out
-		})
-	}
-	return usable
-}
-
 // update changes the ledger, wakes those who wait and sends what it gave rise to.
 func (b *Book) update(ctx context.Context, change func(*limit.Ledger) limit.Outbox) {
 	b.mu.Lock()
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -4,21 +4,16 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorystall/chicorystall/internal/backend"
 	"github.com/chicorystall/chicorystall/internal/capacity"
 	"github.com/chicorystall/chicorystall/internal/engine"
-	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 	"github.com/chicorystall/chicorystall/pkg/group"
-	"github.com/chicorystall/chicorystall/pkg/journal"
 	"github.com/chicorystall/chicorystall/pkg/lease"
 	"github.com/chicorystall/chicorystall/pkg/limit"
-	"github.com/chicorystall/chicorystall/pkg/member"
 	"github.com/chicorystall/chicorystall/pkg/placement"
 	"github.com/chicorystall/chicorystall/pkg/route"
 )
@@ -110,80 +105,6 @@
 	return in
 }
 
-// openItem is the key under which an instance publishes its open requests.
-const openItem = "open"
-
-// countOpen adds the requests that all entry instances of this data centre have
-// open, by group.
-func (s *Server) countOpen(byGroup map[string]int) {
-	for _, g := range s.placement.State().Groups() {
-		byGroup[g.Name] += s.open.of(g.Name)
-	}
-	for _, row := range s.members.Alive() {
-		item, published := row.Item(openItem)
-		if !published || row.Name == s.settings.Name {
-			continue
-		}
-		var report peerpb.InstanceReport
-		if proto.Unmarshal(item.Value, &report) != nil {
-			continue
-		}
-		for name, count := range report.GetInFlight() {
-			byGroup[name] += int(count)
-		}
-	}
-}
-
-// notSeen adds one request to each draining group for each living entry instance
-// that has not yet said that it knows of the drain.
-func (s *Server) notSeen(byGroup map[string]int) {
-	for _, g := range s.placement.State().Groups() {
-		if g.Phase != placement.PhaseDraining {
-			continue
-		}
-		for _, row := range s.members.Alive() {
-			if row.Name != s.settings.Name && !knowsDrain(row, g.Name) {
-				byGroup[g.Name]++
-			}
-		}
-	}
-}
-
-func knowsDrain(row member.Row, group string) bool {
-	var report peerpb.InstanceReport
-	item, published := row.Item(openItem)
-	if !published || proto.Unmarshal(item.Value, &report) != nil {
-		return false
-	}
-	_, known := report.GetInFlight()[group]
-	return known
-}
-
-// publishOpen tells the others how many requests this instance has open at groups
-// that are draining. Others need not know: their counts change all the time.
-func (s *Server) publishOpen(ctx context.Context) error {
-	ticker := time.NewTicker(s.settings.Heartbeat.Peers)
-	defer ticker.Stop()
-	for {
-		report := &peerpb.InstanceReport{InFlight: make(map[string]int32)}
-		for _, g := range s.placement.State().Groups() {
-			if g.Phase == placement.PhaseDraining {
-				report.InFlight[g.Name] = int32(s.open.of(g.Name))
-			}
-		}
-		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(report)
-		if err != nil {
-			return err
-		}
-		s.members.SetItem(openItem, value)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 // engineOf returns the client of a model worker, nil when it is not configured.
 func (s *Server) engineOf(name string) *engine.Client {
 	server, known := s.config.State().Config().BackendServer(name)
@@ -242,65 +163,6 @@
 	return slices.Compact(models)
 }
 
-// peerState returns the newest state of a stream that other instances hold. It
-// is complete only when all that the platform lists have answered.
-func (s *Server) peerState(ctx context.Context, stream string, above journal.Offset) (journal.PeerState, error) {
-	own := stream == placement.Stream(s.settings.DataCentre)
-	listed, known := s.fleet.listedAddresses(own, s.settings.DataCentre)
-	newest := journal.PeerState{Complete: known, NoneReady: true}
-	for _, address := range union(s.members.Addresses(own), listed) {
-		if address == s.settings.PeersAddress {
-			continue
-		}
-		state, err := s.peers.FetchState(ctx, address, stream, int64(max(above, newest.Offset)))
-		if err != nil {
-			newest.Complete = newest.Complete && !slices.Contains(listed, address)
-			continue
-		}
-		newest.NoneReady = newest.NoneReady && !state.GetReady()
-		if offset := journal.Offset(state.GetOffset()); offset > newest.Offset {
-			newest.Offset, newest.Data = offset, state.GetSnapshot()
-		}
-	}
-	return newest, nil
-}
-
-// union returns the addresses of both lists, each once.
-func union(a, b []string) []string {
-	all := append(slices.Clone(a), b...)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-// fetchState answers another instance that asks for the state of a stream.
-func (s *Server) fetchState(_ context.Context, stream string, after int64) (*peerpb.FetchStateReply, error) {
-	switch stream {
-	case configStream:
-		state := s.config.State()
-		return stateReply(s.config.Status().Ready, state.Offset(), after, state.Encode)
-	case s.placement.Stream():
-		state := s.placement.State()
-		return stateReply(s.placement.Status().Ready, state.Offset(), after, state.Snapshot)
-	}
-	return &peerpb.FetchStateReply{}, nil
-}
-
-// stateReply holds a snapshot only when it is newer than what the asker has.
-func stateReply(ready bool, offset journal.Offset, after int64, snapshot func() ([]byte, error)) (*peerpb.FetchStateReply, error) {
-	reply := &peerpb.FetchStateReply{Offset: int64(offset), Ready: ready}
-	if int64(offset) <= after {
-		return reply, nil
-	}
-	var err error
-	reply.Snapshot, err = snapshot()
-	return reply, err
-}
-
-// writesSnapshots reports whether this instance writes the next snapshot.
-func (s *Server) writesSnapshots(stream string) bool {
-	return lease.Owner(stream, s.aliveNames()) == s.settings.Name
-}
-
 // callLimits carries a message about limits to another member.
 func (s *Server) callLimits(ctx context.Context, to limit.Member, message []byte) ([]byte, error) {
 	entry, joined := s.placement.State().Entry(to.Name)
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -28,27 +28,6 @@
 	room    map[string]int          // requests that the groups here can take, by model
 }
 
-// openRequests counts requests in flight by group.
-type openRequests struct {
-	mu     sync.Mutex
-	groups map[string]int
-}
-
-func (o *openRequests) add(group string, n int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.groups == nil {
-		o.groups = make(map[string]int)
-	}
-	o.groups[group] += n
-}
-
-func (o *openRequests) of(group string) int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.groups[group]
-}
-
 // sentCounters count what was sent to each backend server and data centre since
 // its last report.
 type sentCounters struct {
