--- a/cmd/chicorystall/fleet.go
+++ b/cmd/chicorystall/fleet.go
@@ -27,7 +27,37 @@
 			return operator.Command{FleetPut: &config}, findings.Err()
 		},
 	}
-	return parent("fleet", "Imports a whole configuration.", stderr, changeCommand("fleet", put, stdout, stderr))
+	return parent("fleet", "Imports a whole configuration.", stderr,
+		changeCommand("fleet", put, stdout, stderr), skipLostCommand(stdout, stderr))
+}
+
+// skipLostCommand lets one entry instance go on after lost log entries.
+func skipLostCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := cli.Flags("skip-lost", stderr)
+	var to target
+	to.register(flags)
+	return &ffcli.Command{
+		Name:       "skip-lost",
+		ShortUsage: "chicorystall fleet skip-lost [flags]",
+		ShortHelp:  "Lets an entry instance go on after log entries that expired before it read them.",
+		LongHelp:   "Only when no entry instance that still runs holds their state: what they said is lost.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return cli.Usagef("fleet skip-lost takes no arguments")
+			}
+			result, err := to.client().SkipLost(ctx)
+			if err != nil {
+				return err
+			}
+			if to.json {
+				printJSON(stdout, result)
+			} else {
+				fmt.Fprintf(stdout, "%v goes on\n", result.InForce)
+			}
+			return nil
+		},
+	}
 }
 
 func presetCommand(stdout, stderr io.Writer) *ffcli.Command {
--- a/cmd/chicorystall/status.go
+++ b/cmd/chicorystall/status.go
@@ -52,6 +52,9 @@
 		behind = ", newer configuration may exist"
 	}
 	fmt.Fprintf(out, "%s in %s: %s\n", s.Instance, s.DataCentre, ready)
+	if s.ConfigLost {
+		fmt.Fprintln(out, "log entries expired before they were read, see chicorystall fleet skip-lost -h")
+	}
 	fmt.Fprintf(out, "preset %q in force at offset %d (from %s%s)\n", s.Preset, s.ConfigOffset, s.ConfigSource, behind)
 	fmt.Fprintf(out, "%d requests in hand, %d of them waiting\n\n", s.InHand, s.Waiting)
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -216,10 +216,15 @@
 	return e.err
 }
 
-// CutEntry stops an entry instance at once.
+// CutEntry stops an entry instance at once, whatever it has in hand.
 func (d *Deployment) CutEntry(e *Entry) error {
 	e.Server.CutShort()
-	return d.StopEntry(e)
+	err := d.StopEntry(e)
+	var cut *entry.CutError
+	if errors.As(err, &cut) {
+		return nil
+	}
+	return err
 }
 
 // Stop ends the deployment.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicorystall/chicorystall/internal/peer"
 	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
+	"github.com/chicorystall/chicorystall/pkg/retry"
 )
 
 // maxVia bounds how many entry instances handle one request.
@@ -34,6 +35,12 @@
 	if err == nil {
 		return nil
 	}
+	var passed *refusedThere
+	if errors.As(err, &passed) {
+		refused := notRun(http.StatusServiceUnavailable, passed.reason, "entry instance %q refused the request", name).after(passed.retryAfter)
+		refused.retriable = true
+		return refused
+	}
 	if errors.Is(err, errToldCut) {
 		refused := unknown("backend-lost", "entry instance %q told that its answer was cut", name)
 		refused.told = true
@@ -68,10 +75,36 @@
 // that ran the request.
 var errToldCut = errors.New("answer was cut")
 
+// refusedThere reports that another entry instance did not run the request for
+// want of room, so that it may be tried elsewhere.
+type refusedThere struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (e *refusedThere) Error() string { return e.reason }
+
+// refusalOf returns the refusal in the head of a forwarded answer, or nil.
+func refusalOf(status int, header http.Header) error {
+	if status != http.StatusServiceUnavailable || header.Get(headerOutcome) != outcomeNotRun.String() {
+		return nil
+	}
+	after, err := retry.ParseRetryAfter(header.Get(headerRetryAfter), time.Now())
+	if err != nil {
+		after = 0
+	}
+	return &refusedThere{reason: header.Get(headerReason), retryAfter: after}
+}
+
 // takeForwarded passes one chunk of a forwarded answer on.
 func takeForwarded(chunk *peerpb.ForwardChunk, to *answer) error {
 	if chunk.GetStatus() != 0 {
-		if err := to.head(int(chunk.GetStatus()), headerFrom(chunk.GetHeaders())); err != nil {
+		header := headerFrom(chunk.GetHeaders())
+		if err := refusalOf(int(chunk.GetStatus()), header); err != nil {
+			return err
+		}
+		if err := to.head(int(chunk.GetStatus()), header); err != nil {
 			return err
 		}
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET "+operator.ConfigPath, s.serveConfig)
 	mux.HandleFunc("POST "+operator.CommandPath, s.serveCommand)
 	mux.HandleFunc("POST "+operator.OverridePath, s.serveOverride)
+	mux.HandleFunc("POST "+operator.SkipLostPath, s.serveSkipLost)
 	return mux
 }
 
@@ -154,6 +155,14 @@
 	writeJSON(w, http.StatusOK, operator.Result{Accepted: true, Offset: config.Offset(), InForce: []string{s.settings.Name}})
 }
 
+// serveSkipLost lets this instance go on after log entries that expired unread.
+func (s *Server) serveSkipLost(w http.ResponseWriter, _ *http.Request) {
+	s.config.SkipLost()
+	s.placement.SkipLost()
+	s.log.Warn("goes on after lost log entries on an operator's word")
+	writeJSON(w, http.StatusOK, operator.Result{Accepted: true, Offset: s.config.State().Offset(), InForce: []string{s.settings.Name}})
+}
+
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCommandBytes)).Decode(into)
 	if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -184,6 +185,9 @@
 	s.peers.Close()
 	s.pool.Close()
 	s.platform.Close()
+	if left := s.drain.left.Load(); err == nil && left > 0 {
+		return &CutError{Requests: left}
+	}
 	return err
 }
 
@@ -222,6 +226,7 @@
 	mu       sync.Mutex
 	draining bool
 	inHand   int
+	left     atomic.Int64 // requests that a shutdown cut
 	idle     chan struct{}
 	cut      context.Context
 	cutAll   context.CancelCauseFunc
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -11,6 +12,14 @@
 	"github.com/chicorystall/chicorystall/pkg/placement"
 )
 
+// CutError reports a shutdown that did not wait for all that was in hand.
+type CutError struct{ Requests int64 }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("shutdown cut %d requests", e.Requests)
+}
+
 // errShutdownDeadline ends what is still in hand when the deadline passes.
 var errShutdownDeadline = errors.New("shutdown deadline passed")
 
@@ -125,6 +134,7 @@
 	case <-ctx.Done():
 	case <-cut.Done():
 	}
+	s.drain.left.Store(int64(s.InHand()))
 	s.log.WithField("cut", s.InHand()).Warn("shutdown cuts requests")
 	s.CutShort()
 	select {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,6 +23,7 @@
 		NotReady:        s.notReady(),
 		ConfigOffset:    config.Offset,
 		ConfigBehind:    config.Behind,
+		ConfigLost:      config.Lost,
 		ConfigSource:    config.Source.String(),
 		PlacementOffset: s.placement.Status().Offset,
 		Preset:          preset.Name,
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -33,6 +33,13 @@
 	return result, err
 }
 
+// SkipLost lets the entry instance go on after log entries that expired unread.
+func (c Client) SkipLost(ctx context.Context) (Result, error) {
+	var result Result
+	err := c.call(ctx, http.MethodPost, SkipLostPath, struct{}{}, &result)
+	return result, err
+}
+
 // Status asks for the status. With instances set, the entry instance asks all
 // others too.
 func (c Client) Status(ctx context.Context, instances bool) (Status, error) {
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -13,6 +13,7 @@
 	ConfigPath   = "/config"
 	CommandPath  = "/command"
 	OverridePath = "/override"
+	SkipLostPath = "/skip-lost"
 )
 
 // Command is one change of the configuration. Exactly one field beside ID and
@@ -90,6 +91,7 @@
 	NotReady        string `json:",omitempty"`
 	ConfigOffset    journal.Offset
 	ConfigBehind    bool
+	ConfigLost      bool `json:",omitempty"` // entries expired unread, and no instance that answers holds their state
 	ConfigSource    string
 	PlacementOffset journal.Offset
 	Preset          string
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -51,6 +51,10 @@
 // Status returns the position of the replica.
 func (c *Config) Status() journal.Status { return c.follower.Status() }
 
+// SkipLost lets the replica go on after entries that expired unread. It is for an
+// operator who knows that no entry instance holds their state.
+func (c *Config) SkipLost() { c.follower.SkipLost() }
+
 // Changed returns a channel that is closed when the state changes.
 func (c *Config) Changed() <-chan struct{} { return c.changed.Wait() }
 
--- a/internal/replica/placement.go
+++ b/internal/replica/placement.go
@@ -52,6 +52,10 @@
 // Status returns the position of the replica.
 func (p *Placement) Status() journal.Status { return p.follower.Status() }
 
+// SkipLost lets the replica go on after entries that expired unread. It is for an
+// operator who knows that no entry instance holds their state.
+func (p *Placement) SkipLost() { p.follower.SkipLost() }
+
 // Changed returns a channel that is closed when the state changes.
 func (p *Placement) Changed() <-chan struct{} { return p.changed.Wait() }
 
