limit, entry: a data centre that returns cold takes its work without a loss

Reproduced by TestDataCentreReturnsCold with one try for each caller: (1) a crashed worker counted as whole until its report was 3 s old; (2) three tries went to three dead workers; (3) a service call that met the drain was refused; (4) now and then a cold worker fell over: the member that ranks first heard of completions before it had asked the server, and raised the level. Excluded: the drain (nothing was in flight), the ramp. Change: a refused connection or another boot ID takes a server out at once; a place where nothing was written is no retry, up to 5; calls without an open worker are forwarded; a level grows only at a member that has observed the boot ID. TestNoGrowthBeforeItWasObserved fails without the last guard.

--- a/internal/backend/observation.go
+++ b/internal/backend/observation.go
@@ -14,11 +14,14 @@
 // Observation is what is known of a model worker.
 type Observation struct {
 	group.Report
-	Warm     bool
-	Leaving  bool
-	Silent   bool // it did not answer when it was last asked
-	KVTokens int
-	Observer string // entry instance that asked
+	Warm    bool
+	Leaving bool
+	Silent  bool // it did not answer when it was last asked
+	// DownUntil is until when word of others that it is well does not count, since
+	// its address refused a connection or another process answered there.
+	DownUntil time.Time
+	KVTokens  int
+	Observer  string // entry instance that asked
 }
 
 // observed returns what an engine's own report says.
--- a/internal/backend/watcher.go
+++ b/internal/backend/watcher.go
@@ -5,8 +5,10 @@
 	"maps"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorystall/chicorystall/internal/replica"
@@ -108,6 +110,21 @@
 	return reports
 }
 
+// downTime is how long a backend server counts as down without a new observation.
+const downTime = 2 * time.Second
+
+// MarkDown notes that no process, or another one, was found at the address of a
+// backend server. It takes no work until it was observed anew.
+func (w *Watcher) MarkDown(server string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o, known := w.newest[server]; known {
+		o.At = time.Time{}
+		o.DownUntil = time.Now().Add(downTime)
+		w.newest[server] = o
+	}
+}
+
 // Note takes in what a backend server told on a request, before the next poll.
 func (w *Watcher) Note(server, bootID string) {
 	w.mu.Lock()
@@ -156,7 +173,7 @@
 	defer w.mu.Unlock()
 	for server, o := range w.newest {
 		_, stands := standing[server+" "+o.Observer]
-		if stands && !silent[server] && !o.Silent {
+		if stands && !silent[server] && !o.Silent && now.After(o.DownUntil) {
 			o.At = now
 			w.newest[server] = o
 		}
@@ -200,6 +217,9 @@
 	state, err := w.options.Pool.Engine(server.Address).State(ctx)
 	if err != nil {
 		w.silent(server.Name)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			w.MarkDown(server.Name)
+		}
 		return
 	}
 	o := observed(server.Name, w.options.Self, state, placement, time.Now())
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -56,7 +56,7 @@
 		Prompts:  30,
 		Pause:    5 * time.Millisecond,
 		Deadline: patience,
-		Attempts: 5,
+		Attempts: 1,
 		Seed:     1,
 	})
 }
--- a/internal/deployment/failure_test.go
+++ b/internal/deployment/failure_test.go
@@ -28,7 +28,7 @@
 	g := NewWithT(t)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan *load.Report)
-	go func() { done <- d.loadFor(ctx, 2*patience, 8) }()
+	go func() { done <- d.loadFor(ctx, 2*patience, 30) }()
 	time.Sleep(faultTime / 4)
 	fail(g)
 	time.Sleep(faultTime / 4)
@@ -232,3 +232,31 @@
 		_ = response.Body.Close()
 	}
 }
+
+func TestDataCentreReturnsCold(t *testing.T) {
+	d := startPlan(t, Plan{
+		DataCentres: []string{"a", "b", "c"}, EntriesPerDataCentre: 3, GroupsPerDataCentre: 3, MaxInFlight: 8, ColdInFlight: 2,
+		Worker: worker.Config{TokenTime: 2 * time.Millisecond},
+	})
+	send := func(g Gomega, command operator.Command) {
+		command.ID, command.Writer = uuid.NewString(), "test"
+		result, err := d.Operator().Send(t.Context(), command)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Accepted).To(BeTrue())
+	}
+	report := underLoad(t, d, func(g Gomega) {
+		send(g, operator.Command{DataCentreDrain: "b"})
+		time.Sleep(faultTime)
+		for _, server := range d.Fleet.BackendServers {
+			if w := d.Workers[server.Name]; w != nil && server.DataCentre == "b" {
+				w.Inject(worker.Faults{Crash: true})
+			}
+		}
+		time.Sleep(faultTime / 4)
+		send(g, operator.Command{DataCentreUndrain: "b"})
+		time.Sleep(faultTime)
+	})
+	g := NewWithT(t)
+	expectWithinLimits(g, d)
+	g.Expect(report.Reasons()).To(BeEmpty())
+}
--- a/internal/entry/modelrun.go
+++ b/internal/entry/modelrun.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -204,7 +205,8 @@
 	if ctx.Err() != nil {
 		return r.ended(ctx)
 	}
-	if errors.Is(err, engine.ErrBootChanged) {
+	if errors.Is(err, engine.ErrBootChanged) || errors.Is(err, syscall.ECONNREFUSED) {
+		r.server.watcher.MarkDown(r.where.Permit.Backend)
 		r.server.forgetPicture()
 	}
 	refused := r.lost("%v", err)
@@ -212,7 +214,8 @@
 		refused.RetryAfter = refusedErr.RetryAfter
 	}
 	notStarted := refusedErr != nil && refusedErr.NotStarted
-	if notStarted || errors.Is(err, engine.ErrNotSent) {
+	refused.neverSent = errors.Is(err, engine.ErrNotSent)
+	if notStarted || refused.neverSent {
 		refused.Outcome, refused.Status = outcomeNotRun, http.StatusServiceUnavailable
 	}
 	return refused
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -16,6 +16,10 @@
 	"github.com/chicorystall/chicorystall/pkg/route"
 )
 
+// maxMisses bounds how often a request is placed anew because nothing answered
+// where it was placed.
+const maxMisses = 5
+
 // choicesPerTry bounds how many backend servers one try to place looks at.
 const choicesPerTry = 3
 
@@ -37,6 +41,7 @@
 	}
 	attempt := retry.Attempt{Number: max(1, req.Attempt), Deadline: req.Deadline, Forwarded: len(req.Via) > 0}
 	avoid := ""
+	misses := 0
 	for {
 		where, refused := s.place(ctx, req, m, avoid)
 		if refused == nil {
@@ -50,6 +55,10 @@
 			return
 		}
 		avoid = where.Decision.Backend
+		if refused.neverSent && misses < maxMisses {
+			misses++ // nothing was written to a backend server, which is no retry
+			continue
+		}
 		next := s.retries.Next(time.Now(), attempt, retry.Failure{
 			Server: avoid, Repeatable: true, RetryAfter: refused.RetryAfter,
 		})
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -30,6 +30,7 @@
 	RetryAfter time.Duration
 
 	retriable bool // the request may be tried at another place
+	neverSent bool // nothing was written to a backend server
 	told      bool // the caller was told by another entry instance
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -20,6 +20,9 @@
 // servicesPrefix begins the paths of plain services.
 const servicesPrefix = "/services/"
 
+// reasonNoWorker is the reason of a refusal when no worker here is open.
+const reasonNoWorker = "no-open-worker"
+
 // serviceBoot stands for the boot ID of a plain service's worker, which tells none.
 const serviceBoot = "service"
 
@@ -52,6 +55,12 @@
 	} else {
 		refused = s.runRepeatable(ctx, req, call, to)
 	}
+	if refused != nil && refused.Reason == reasonNoWorker {
+		if elsewhere, ok := s.serviceDataCentre(req, call.service.Name); ok {
+			s.forwardService(ctx, req, elsewhere, to)
+			return
+		}
+	}
 	if refused != nil {
 		s.refuseRequest(req, to, refused)
 	}
@@ -186,7 +195,7 @@
 	case err != nil:
 		return permit, placeRefusal(err, nil)
 	case closed:
-		return permit, notRun(http.StatusServiceUnavailable, "no-open-worker", "service %q has no open worker", call.service.Name).after(time.Second)
+		return permit, notRun(http.StatusServiceUnavailable, reasonNoWorker, "service %q has no open worker", call.service.Name).after(time.Second)
 	case ctx.Err() != nil:
 		s.book.Release(context.WithoutCancel(ctx), permit, false)
 		return permit, placeRefusal(ctx.Err(), nil)
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -268,3 +268,25 @@
 		})
 	}
 }
+
+// The member that ranks first hears of completions before it has asked the backend
+// server itself, which may report that it is cold.
+func TestNoGrowthBeforeItWasObserved(t *testing.T) {
+	g := NewWithT(t)
+	ledgers := fleetOf(2, Limit{InFlight: 8, ColdInFlight: 2})
+	first, other := ledgers[0], ledgers[1]
+	if ledgers[0].newest().table.Order("s1")[0] != first.Self {
+		first, other = other, first
+	}
+	other.Observe("s1", "b2")
+	other.MarkReportedCold("s1", "b2")
+	for range 4 {
+		permit, err := other.Acquire("s1", 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		other.Release(permit, true)
+	}
+	exchange(ledgers)
+	first.Observe("s1", "b2")
+	first.MarkReportedCold("s1", "b2")
+	g.Expect(first.Level("s1")).To(Equal(2))
+}
--- a/pkg/limit/level.go
+++ b/pkg/limit/level.go
@@ -91,7 +91,8 @@
 func (l *Ledger) grow(a *account, limit Limit) {
 	bears := a.bears(limit)
 	rank, ok := l.newest().table.Rank(a.backend, l.Self)
-	if !ok || rank != 0 || bears >= limit.InFlight || a.level.cold {
+	observed := l.current[a.backend] == a.boot // else it may report that it is cold
+	if !ok || rank != 0 || bears >= limit.InFlight || a.level.cold || !observed {
 		return
 	}
 	if a.level.total() < int64(bears) {
