--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -274,6 +274,12 @@
 func TestNoGrowthBeforeItWasObserved(t *testing.T) {
 	g := NewWithT(t)
 	ledgers := fleetOf(2, Limit{InFlight: 8, ColdInFlight: 2})
+	even := Table{Epoch: 2, Block: 1, Members: ledgers[0].newest().table.Members}
+	for _, l := range ledgers {
+		l.SetTable(even)
+	}
+	exchange(ledgers)
+	exchange(ledgers)
 	first, other := ledgers[0], ledgers[1]
 	if ledgers[0].newest().table.Order("s1")[0] != first.Self {
 		first, other = other, first
