--- a/internal/measure/list.go
+++ b/internal/measure/list.go
@@ -11,6 +11,7 @@
 func List() []Measure {
 	return []Measure{
 		{"claim-batching", "log appends and wait of claims, against one append for each key", ClaimBatching},
+		{"claim-outage", "keyed requests while the log is away, against keys minted beforehand; simulated", ClaimOutage},
 		{"control-cost-data-centres", "what control costs one entry instance, by data centres", ControlCostDataCentres},
 		{"control-cost-entries", "the same by entry instances in the data centre", ControlCostEntries},
 		{"control-cost-groups", "the same by groups in the data centre", ControlCostGroups},
