limit, capacity: a server that reports itself cold again gets the cold level

Found in the read-through: MarkCold had no caller, so that a report of a new cold start under the same boot ID after a warm one changed nothing (TestReportedColdAgain: level 8 before by the code, 2 after). Dead code goes: Book.Acquire, MarkCold and Boot, and two signals that nobody waited for.

--- a/internal/backend/watcher.go
+++ b/internal/backend/watcher.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/chicorystall/chicorystall/internal/replica"
 	"github.com/chicorystall/chicorystall/pkg/fleet"
 	"github.com/chicorystall/chicorystall/pkg/group"
 	"github.com/chicorystall/chicorystall/pkg/journal"
@@ -55,7 +54,6 @@
 // Watcher keeps the newest observation of each model worker.
 type Watcher struct {
 	options Options
-	changed replica.Signal
 
 	mu        sync.Mutex
 	newest    map[string]Observation
@@ -80,7 +78,6 @@
 	for {
 		w.merge(ctx)
 		w.poll(ctx)
-		w.changed.Notify()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -89,9 +86,6 @@
 	}
 }
 
-// Changed returns a channel that is closed after each round.
-func (w *Watcher) Changed() <-chan struct{} { return w.changed.Wait() }
-
 // Observations returns the newest observation of each backend server.
 func (w *Watcher) Observations() map[string]Observation {
 	w.mu.Lock()
--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -93,20 +93,6 @@
 	})
 }
 
-// MarkCold notes that a backend server turned cold without a new boot ID.
-func (b *Book) MarkCold(backend, boot string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ledger.MarkCold(backend, boot)
-}
-
-// Boot returns the boot ID that permits of a backend server are for.
-func (b *Book) Boot(backend string) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ledger.Boot(backend)
-}
-
 // Bears returns what the backend server bears now as far as this member knows,
 // over all members.
 func (b *Book) Bears(backend string) limit.Amount {
@@ -152,23 +138,6 @@
 	b.askLater(ctx, backend, refused)
 }
 
-// Acquire takes a permit, with a loan of other members when that is needed. It
-// does not wait for one to become free: then the error is a *limit.Refusal.
-func (b *Book) Acquire(ctx context.Context, backend string, tokens int) (limit.Permit, error) {
-	permit, refused := b.acquire(backend, tokens)
-	for i := 0; refused != nil; i++ {
-		if i >= min(lendersAsked, len(refused.Lenders)) || refused.Missing.IsZero() {
-			b.abandon(ctx, backend)
-			return limit.Permit{}, refused
-		}
-		if !b.borrow(ctx, backend, refused.Lenders[i], refused.Missing, false) {
-			continue
-		}
-		permit, refused = b.acquire(backend, tokens)
-	}
-	return permit, nil
-}
-
 // Release ends a permit. Completed says that the backend server answered whole.
 func (b *Book) Release(ctx context.Context, permit limit.Permit, completed bool) {
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
@@ -190,10 +159,6 @@
 	return permit, nil
 }
 
-func (b *Book) abandon(ctx context.Context, backend string) {
-	b.update(ctx, func(l *limit.Ledger) limit.Outbox { return l.Abandon(backend) })
-}
-
 // update changes the ledger, wakes those who wait and sends what it gave rise to.
 func (b *Book) update(ctx context.Context, change func(*limit.Ledger) limit.Outbox) {
 	b.mu.Lock()
--- a/internal/capacity/doc.go
+++ b/internal/capacity/doc.go
@@ -2,9 +2,10 @@
 // instances of a data centre, and makes the ledger safe for concurrent use.
 //
 //	book := capacity.NewBook(self, call)
-//	permit, err := book.Acquire(ctx, "worker-3", tokens)
-//	if err != nil {
-//		return err
+//	permit, ok := book.TryAcquire("worker-3", tokens)
+//	if !ok {
+//		book.AskFor(ctx, "worker-3", tokens)
+//		return
 //	}
 //	defer book.Release(permit, completed)
 package capacity
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,7 +8,6 @@
 
 	"github.com/chicorystall/chicorystall/internal/peer"
 	"github.com/chicorystall/chicorystall/internal/peer/peerpb"
-	"github.com/chicorystall/chicorystall/internal/replica"
 	"github.com/chicorystall/chicorystall/pkg/member"
 )
 
@@ -40,7 +39,6 @@
 // Service keeps the view of which entry instances are alive.
 type Service struct {
 	options Options
-	changed replica.Signal
 
 	mu       sync.Mutex
 	table    *member.Table
@@ -76,7 +74,6 @@
 		for _, m := range messages {
 			go s.exchange(ctx, m)
 		}
-		s.changed.Notify()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -85,9 +82,6 @@
 	}
 }
 
-// Changed returns a channel that is closed when the view may have changed.
-func (s *Service) Changed() <-chan struct{} { return s.changed.Wait() }
-
 // Alive returns the instances of the own data centre that are not known to be
 // dead, this one among them.
 func (s *Service) Alive() []member.Row {
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -296,3 +296,14 @@
 	first.MarkReportedCold("s1", "b2")
 	g.Expect(first.Level("s1")).To(Equal(2))
 }
+
+func TestReportedColdAgain(t *testing.T) {
+	g := NewWithT(t)
+	l := fleetOf(1, Limit{InFlight: 8, ColdInFlight: 2})[0]
+	l.MarkWarm("s1", "b1")
+	g.Expect(l.Level("s1")).To(Equal(8))
+	l.MarkReportedCold("s1", "b1")
+	g.Expect(l.Level("s1")).To(Equal(2), "it says under the same boot ID that it is cold again")
+	l.MarkWarm("s1", "b1")
+	g.Expect(l.Level("s1")).To(Equal(8))
+}
--- a/pkg/limit/level.go
+++ b/pkg/limit/level.go
@@ -55,9 +55,14 @@
 
 // MarkReportedCold notes that the backend server itself reports that it is cold.
 // Until it reports that it is warm, its level does not grow: a completed request
-// shows that it bears what it has, not that it bears more.
+// shows that it bears what it has, not that it bears more. After it was warm, this
+// is the news of MarkCold.
 func (l *Ledger) MarkReportedCold(backend, boot string) {
-	l.account(key{backend, boot}).level.cold = true
+	a := l.account(key{backend, boot})
+	if a.level.warm {
+		l.MarkCold(backend, boot)
+	}
+	a.level.cold = true
 }
 
 // MarkCold notes that the backend server turned cold without a new boot ID, by
