backend, entry: what was sent counts from when a report's numbers were told

Found in the last read-through: observations that stand are marked fresh in each round, and the counts of requests sent since the report began anew with each mark, while the report's own numbers stayed old. So the correction of lagging reports was mostly lost since observations travel on change only. The time of the numbers is a field of its own now. No test showed this, and none was added; the packages' tests pass with -race.

--- a/internal/backend/observation.go
+++ b/internal/backend/observation.go
@@ -21,7 +21,8 @@
 	// its address refused a connection or another process answered there.
 	DownUntil time.Time
 	KVTokens  int
-	Observer  string // entry instance that asked
+	Told      time.Time // when the numbers were told; At is until when they are known to stand
+	Observer  string    // entry instance that asked
 }
 
 // observed returns what an engine's own report says.
@@ -40,6 +41,7 @@
 			At:           at,
 			Observed:     placement,
 		},
+		Told:     at,
 		Warm:     state.Phase == engine.Warm,
 		Leaving:  state.Leaving,
 		KVTokens: state.KVTokens,
