entry, capacity, backend: what was kept or computed twice

The book kept the limits beside its ledger, which tells what a server bears; open requests were decoded twice, and travelled in a message made for something else; a choice's picture and the controller's input took two copies of the observations, which could differ. Behaviour stays.

--- a/internal/backend/watcher.go
+++ b/internal/backend/watcher.go
@@ -94,11 +94,12 @@
 }
 
 // Reports returns the newest reports as package group takes them.
-func (w *Watcher) Reports() group.Reports {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	reports := make(group.Reports, len(w.newest))
-	for name, o := range w.newest {
+func (w *Watcher) Reports() group.Reports { return ReportsOf(w.Observations()) }
+
+// ReportsOf returns the reports in the observations.
+func ReportsOf(observations map[string]Observation) group.Reports {
+	reports := make(group.Reports, len(observations))
+	for name, o := range observations {
 		reports[name] = o.Report
 	}
 	return reports
--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -31,9 +31,8 @@
 
 	mu      sync.Mutex
 	ledger  limit.Ledger
-	members []limit.Member  // of the table, without this one
-	asking  map[string]bool // backend servers for which a waiting loan is asked
-	fits    map[string]limit.Limit
+	members []limit.Member          // of the table, without this one
+	asking  map[string]bool         // backend servers for which a loan is asked
 	own     map[string]limit.Amount // in flight of this instance
 }
 
@@ -71,7 +70,6 @@
 // SetLimits follows newly configured limits.
 func (b *Book) SetLimits(ctx context.Context, limits limit.Limits) {
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
-		b.fits = limits.Backends
 		return l.SetLimits(limits)
 	})
 }
@@ -98,7 +96,7 @@
 func (b *Book) Bears(backend string) limit.Amount {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return limit.Amount{Requests: b.ledger.Level(backend), Tokens: b.fits[backend].Tokens}
+	return b.ledger.Bears(backend)
 }
 
 // InFlight returns what this instance has in flight at the backend server.
@@ -121,11 +119,15 @@
 	defer b.mu.Unlock()
 	permit, ok := b.ledger.TryAcquire(backend, tokens)
 	if ok {
-		b.own[backend] = b.own[backend].Plus(limit.Amount{Requests: 1, Tokens: tokens})
+		b.own[backend] = b.own[backend].Plus(amountOf(permit))
 	}
 	return permit, ok
 }
 
+func amountOf(permit limit.Permit) limit.Amount {
+	return limit.Amount{Requests: 1, Tokens: permit.Tokens}
+}
+
 // AskFor takes a place among those who wait for the backend server, for a request
 // that found no room, and asks for a loan in the background. Freed tells when it
 // is worth another try.
@@ -141,8 +143,7 @@
 // Release ends a permit. Completed says that the backend server answered whole.
 func (b *Book) Release(ctx context.Context, permit limit.Permit, completed bool) {
 	b.update(ctx, func(l *limit.Ledger) limit.Outbox {
-		spent := limit.Amount{Requests: 1, Tokens: permit.Tokens}
-		b.own[permit.Backend] = b.own[permit.Backend].Minus(spent).Positive()
+		b.own[permit.Backend] = b.own[permit.Backend].Minus(amountOf(permit)).Positive()
 		return l.Release(permit, completed)
 	})
 }
@@ -155,7 +156,7 @@
 	if errors.As(err, &refused) {
 		return limit.Permit{}, refused
 	}
-	b.own[backend] = b.own[backend].Plus(limit.Amount{Requests: 1, Tokens: tokens})
+	b.own[backend] = b.own[backend].Plus(amountOf(permit))
 	return permit, nil
 }
 
--- a/internal/capacity/loan.go
+++ b/internal/capacity/loan.go
@@ -7,7 +7,7 @@
 	"github.com/chicorystall/chicorystall/pkg/limit"
 )
 
-// lendersAsked is how many members one Acquire asks for a loan.
+// lendersAsked is how many members are asked for one loan.
 const lendersAsked = 3
 
 // loanPatience is how long a request for a loan waits at a lender.
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -72,11 +72,12 @@
 // controlInput returns what decisions over groups depend on.
 func (s *Server) controlInput() group.Input {
 	config := s.config.State().Config()
+	observations := s.watcher.Observations()
 	in := group.Input{
-		Reports:  s.watcher.Reports(),
+		Reports:  backend.ReportsOf(observations),
 		Leaving:  make(map[string]bool),
 		Gone:     make(map[string]bool),
-		InFlight: make(map[string]int),
+		InFlight: s.countOpen(),
 	}
 	for _, g := range config.Groups {
 		if g.DataCentre == s.settings.DataCentre {
@@ -88,9 +89,7 @@
 			in.Servers = append(in.Servers, server)
 		}
 	}
-	s.countOpen(in.InFlight)
-	s.notSeen(in.InFlight)
-	for name, o := range s.watcher.Observations() {
+	for name, o := range observations {
 		in.Leaving[name] = o.Leaving
 	}
 	s.fleet.mu.Lock()
--- a/internal/entry/openrequests.go
+++ b/internal/entry/openrequests.go
@@ -36,50 +36,39 @@
 // openItem is the key under which an instance publishes its open requests.
 const openItem = "open"
 
-// countOpen adds the requests that all entry instances of this data centre have
-// open, by group.
-func (s *Server) countOpen(byGroup map[string]int) {
-	for _, g := range s.placement.State().Groups() {
-		byGroup[g.Name] += s.open.of(g.Name)
+// countOpen returns the requests that all entry instances of this data centre have
+// open, by group. At a draining group it counts one for each living instance that
+// has not yet said that it knows of the drain.
+func (s *Server) countOpen() map[string]int {
+	groups := s.placement.State().Groups()
+	byGroup := make(map[string]int, len(groups))
+	for _, g := range groups {
+		byGroup[g.Name] = s.open.of(g.Name)
 	}
 	for _, row := range s.members.Alive() {
-		item, published := row.Item(openItem)
-		if !published || row.Name == s.settings.Name {
+		if row.Name == s.settings.Name {
 			continue
 		}
-		var report peerpb.InstanceReport
-		if proto.Unmarshal(item.Value, &report) != nil {
-			continue
-		}
-		for name, count := range report.GetInFlight() {
-			byGroup[name] += int(count)
-		}
-	}
-}
-
-// notSeen adds one request to each draining group for each living entry instance
-// that has not yet said that it knows of the drain.
-func (s *Server) notSeen(byGroup map[string]int) {
-	for _, g := range s.placement.State().Groups() {
-		if g.Phase != placement.PhaseDraining {
-			continue
-		}
-		for _, row := range s.members.Alive() {
-			if row.Name != s.settings.Name && !knowsDrain(row, g.Name) {
+		published := openOf(row)
+		for _, g := range groups {
+			count, known := published[g.Name]
+			byGroup[g.Name] += int(count)
+			if !known && g.Phase == placement.PhaseDraining {
 				byGroup[g.Name]++
 			}
 		}
 	}
+	return byGroup
 }
 
-func knowsDrain(row member.Row, group string) bool {
-	var report peerpb.InstanceReport
+// openOf returns what another entry instance published of its open requests.
+func openOf(row member.Row) map[string]int32 {
+	var open peerpb.OpenRequests
 	item, published := row.Item(openItem)
-	if !published || proto.Unmarshal(item.Value, &report) != nil {
-		return false
+	if !published || proto.Unmarshal(item.Value, &open) != nil {
+		return nil
 	}
-	_, known := report.GetInFlight()[group]
-	return known
+	return open.GetDrainingGroups()
 }
 
 // publishOpen tells the others how many requests this instance has open at groups
@@ -88,13 +77,13 @@
 	ticker := time.NewTicker(s.settings.Heartbeat.Peers)
 	defer ticker.Stop()
 	for {
-		report := &peerpb.InstanceReport{InFlight: make(map[string]int32)}
+		open := &peerpb.OpenRequests{DrainingGroups: make(map[string]int32)}
 		for _, g := range s.placement.State().Groups() {
 			if g.Phase == placement.PhaseDraining {
-				report.InFlight[g.Name] = int32(s.open.of(g.Name))
+				open.DrainingGroups[g.Name] = int32(s.open.of(g.Name))
 			}
 		}
-		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(report)
+		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(open)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -65,7 +65,7 @@
 	config := state.Config()
 	contacts := s.contactReports()
 	observations := s.watcher.Observations()
-	reports := s.watcher.Reports()
+	reports := backend.ReportsOf(observations)
 	out := &picture{made: now, tickets: make(map[string]group.Ticket), room: make(map[string]int)}
 	view := route.Config{
 		DataCentre:  s.settings.DataCentre,
