--- a/cmd/chicorystall/main.go
+++ b/cmd/chicorystall/main.go
@@ -40,6 +40,7 @@
 			groupCommand(stdout, stderr),
 			dataCentreCommand(stdout, stderr),
 			statusCommand(stdout, stderr),
+			platformCommand(stdout, stderr),
 			demoCommand(stdout, stderr),
 			versionCommand(stdout, stderr),
 		},
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,334 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Pool.
+const (
+	DefaultDialTimeout = 400 * time.Millisecond // several times a round trip between data centres
+	DefaultMaxIdle     = 4 * time.Second
+	DefaultIdleConns   = 8 // for each backend server
+	// maxForeign is how many answers to other requests are skipped on a connection.
+	maxForeign = 3
+	// maxDrain is how much of an unread answer is read to keep its connection.
+	maxDrain = 64 << 10
+)
+
+var (
+	// ErrNotSent marks a request of which the server has received nothing.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrForeignAnswer marks a connection that carried answers to other requests only.
+	ErrForeignAnswer = errors.New("answers belong to other requests")
+)
+
+// NotSent reports whether the server has received nothing of the request.
+func NotSent(err error) bool { return errors.Is(err, ErrNotSent) }
+
+// Server names the backend server that a request is for.
+type Server struct {
+	ID      string
+	Address string // IP and port
+}
+
+// Request is a request as it is written to a backend server.
+type Request struct {
+	Method string
+	Target string // path and query as the caller sent them
+	Host   string
+	Header http.Header // without the headers that concern one connection
+	Body   []byte
+	Fresh  bool // needs a connection that was in use a moment ago, or a new one
+	// Owns reports whether an answer belongs to this request; nil accepts any.
+	// The bool tells whether the connection has carried an earlier request.
+	Owns func(status int, header http.Header, reused bool) bool
+}
+
+// Answer is the answer of a backend server. Its body must be closed; only when
+// it was read to its end is the connection used again.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64 // -1 when not declared
+	Reused bool
+}
+
+// Pool keeps connections to backend servers. The zero value is ready.
+type Pool struct {
+	DialTimeout time.Duration
+	MaxIdle     time.Duration // longest time that a connection stays idle
+	IdleConns   int           // idle connections kept for each backend server
+	Dial        func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+	OnDial      func(d time.Duration, err error) // nil or told of each new connection
+
+	mu   sync.Mutex
+	idle map[Server][]*conn
+}
+
+// freshIdle is how long a connection may have been idle for a request that
+// must not be lost with it.
+const freshIdle = 300 * time.Millisecond
+
+// Do sends a request and returns the head of its answer. When the context ends,
+// the connection is closed, also while the body is read. An error that is not
+// ErrNotSent leaves open whether the request ran.
+func (p *Pool) Do(ctx context.Context, server Server, r *Request) (*Answer, error) {
+	c, err := p.conn(ctx, server, r.Fresh)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	if err := ctx.Err(); err != nil {
+		p.put(server, c)
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	reused := c.used > 0
+	c.used++
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	written := c.write(r)
+	answer, keep, err := c.read(r, reused)
+	if err != nil {
+		stop()
+		c.Close()
+		if ctx.Err() != nil {
+			err = errors.Wrap(context.Cause(ctx), "no answer")
+		}
+		return nil, err
+	}
+	answer.Body = &body{ReadCloser: answer.Body, pool: p, server: server, conn: c, stop: stop, written: written, keep: keep}
+	answer.Reused = reused
+	return answer, nil
+}
+
+func (p *Pool) conn(ctx context.Context, server Server, fresh bool) (*conn, error) {
+	now := time.Now()
+	maxIdle := p.MaxIdle
+	if maxIdle <= 0 {
+		maxIdle = DefaultMaxIdle
+	}
+	if fresh {
+		maxIdle = min(maxIdle, freshIdle)
+	}
+	for {
+		c := p.take(server)
+		if c == nil {
+			break
+		}
+		if c.fit(now, maxIdle) {
+			return c, nil
+		}
+		c.Close()
+	}
+	dial, timeout := p.Dial, p.DialTimeout
+	if dial == nil {
+		dial = Dial
+	}
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+	raw, err := dial(ctx, server.Address, timeout)
+	if p.OnDial != nil {
+		p.OnDial(time.Since(now), err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+func (p *Pool) take(server Server) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[server]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	p.idle[server] = conns[:len(conns)-1]
+	return c
+}
+
+func (p *Pool) put(server Server, c *conn) {
+	limit := p.IdleConns
+	if limit <= 0 {
+		limit = DefaultIdleConns
+	}
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[server]) >= limit {
+		c.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = map[Server][]*conn{}
+	}
+	p.idle[server] = append(p.idle[server], c)
+}
+
+// Keep closes the idle connections of all servers that keep does not name, and
+// those that have been idle for too long.
+func (p *Pool) Keep(now time.Time, keep func(Server) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maxIdle := p.MaxIdle
+	if maxIdle <= 0 {
+		maxIdle = DefaultMaxIdle
+	}
+	for server, conns := range p.idle {
+		known := keep(server)
+		conns = slices.DeleteFunc(conns, func(c *conn) bool {
+			if known && now.Sub(c.idleSince) < maxIdle {
+				return false
+			}
+			c.Close()
+			return true
+		})
+		if len(conns) == 0 {
+			delete(p.idle, server)
+			continue
+		}
+		p.idle[server] = conns
+	}
+}
+
+// Drop closes the idle connections to a server, after one of them failed.
+func (p *Pool) Drop(server Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[server] {
+		c.Close()
+	}
+	delete(p.idle, server)
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.Keep(time.Now(), func(Server) bool { return false })
+}
+
+// write writes the request and returns a channel that holds the result once all
+// of it was written. A large body is written while the answer is read, because
+// a server may answer before it has read the request.
+func (c *conn) write(r *Request) <-chan error {
+	data := make([]byte, 0, 512+min(len(r.Body), writeInline))
+	data = append(data, r.Method...)
+	data = append(data, ' ')
+	data = append(data, r.Target...)
+	data = append(data, " HTTP/1.1\r\nHost: "...)
+	data = append(data, r.Host...)
+	data = append(data, "\r\n"...)
+	for name, values := range r.Header {
+		for _, value := range values {
+			data = append(data, name...)
+			data = append(data, ": "...)
+			data = append(data, value...)
+			data = append(data, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		data = append(data, "Content-Length: "...)
+		data = strconv.AppendInt(data, int64(len(r.Body)), 10)
+		data = append(data, "\r\n"...)
+	}
+	data = append(data, "\r\n"...)
+	done := make(chan error, 1)
+	if len(data)+len(r.Body) <= writeInline {
+		data = append(data, r.Body...)
+		_, err := c.Write(data)
+		done <- err
+		return done
+	}
+	go func() {
+		_, err := (&net.Buffers{data, r.Body}).WriteTo(c.Conn)
+		done <- err
+	}()
+	return done
+}
+
+// read reads the head of the answer to the request and skips answers to others.
+func (c *conn) read(r *Request, reused bool) (answer *Answer, keep bool, err error) {
+	method := &http.Request{Method: r.Method}
+	for foreign := 0; foreign <= maxForeign; {
+		resp, err := http.ReadResponse(c.reader, method)
+		if err != nil {
+			return nil, false, errors.Wrap(err, "reading the answer")
+		}
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if r.Owns != nil && !r.Owns(resp.StatusCode, resp.Header, reused) {
+			foreign++
+			if err := skip(resp); err != nil {
+				return nil, false, errors.Mark(err, ErrForeignAnswer)
+			}
+			reused = true
+			continue
+		}
+		c.idleFor = keepAliveTimeout(resp.Header)
+		keep := !resp.Close && foreign == 0 && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, keep, nil
+	}
+	return nil, false, ErrForeignAnswer
+}
+
+func skip(resp *http.Response) error {
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errors.New("an answer to another request has no end")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrain))
+	if err == nil && n == maxDrain {
+		err = errors.New("an answer to another request is too long to skip")
+	}
+	return err
+}
+
+// body returns its connection to the pool when the answer was read whole.
+type body struct {
+	io.ReadCloser
+	pool    *Pool
+	server  Server
+	conn    *conn
+	stop    func() bool
+	written <-chan error
+	keep    bool
+	whole   bool
+	closed  bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	live := b.stop()
+	written := false
+	select {
+	case err := <-b.written:
+		written = err == nil
+	default:
+	}
+	if live && b.whole && b.keep && written && b.conn.reader.Buffered() == 0 {
+		b.pool.put(b.server, b.conn)
+		return nil
+	}
+	return b.conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chicorystall/chicorystall/internal/exchange"
+	"github.com/chicorystall/chicorystall/internal/telemetry"
+	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/dispatch"
+)
+
+const (
+	// bufferedAnswer is the size up to which an answer is read whole before the
+	// client gets any of it, so that a broken one can be repeated.
+	bufferedAnswer = 256 << 10
+	// declinedDoubt keeps work from a place that has just declined some.
+	declinedDoubt = 150 * time.Millisecond
+	// silentFactor is how many objectives a repeatable request is left with a
+	// silent backend server before it is sent to another.
+	silentFactor = 3
+	minSilent    = 250 * time.Millisecond
+)
+
+// errSilent ends an attempt at a backend server that does not answer.
+var errSilent = errors.New("backend server does not answer")
+
+type next int
+
+const (
+	finished next = iota // the client has its answer
+	again                // another place may serve it
+	stop                 // nothing more is tried
+)
+
+// ending is how an attempt ended.
+type ending struct {
+	next    next
+	reason  string
+	sent    bool // a backend server may have received it
+	refusal refusal
+	err     error // the answer broke off after the client got part of it
+}
+
+// attempt finds a place for the request and sends it there.
+func (q *request) attempt(ctx context.Context, s *streamState) ending {
+	g := q.gateway
+	t := q.ticket(s)
+	began := time.Now()
+	d, err := g.Places.Acquire(ctx, t)
+	q.last = d
+	g.Metrics.Waits.Observe(time.Since(began).Seconds())
+	if err != nil {
+		return ending{next: stop, refusal: q.outOfTime(err)}
+	}
+	if d.Verdict != dispatch.Run {
+		return ending{next: stop, refusal: q.noPlace(d)}
+	}
+	sent := time.Now()
+	result := dispatch.Left
+	defer func() { g.Places.Done(t, result, time.Since(sent)) }()
+	server, ok := q.view.Servers.Server(d.Place)
+	if !ok {
+		server, ok = g.View().Servers.Server(d.Place)
+	}
+	if !ok {
+		q.tried = append(q.tried, d.Place)
+		return ending{next: again, reason: "place has gone"}
+	}
+	remaining := time.Until(q.deadline)
+	if remaining <= 0 {
+		return ending{next: stop, refusal: q.outOfTime(errTimeout)}
+	}
+	q.story.Add("placed", telemetry.Fields{
+		"place": d.Place, "data_centre": server.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(began).Milliseconds(),
+		"free": d.Free, "waiting": d.Waiting, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
+	})
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{request: q, server: exchange.Server{ID: server.ID, Address: server.Address}, ticket: t, cancel: cancel, state: s}
+	end, r := a.run(ctx, remaining)
+	result = r
+	if end.next == again {
+		q.tried = append(q.tried, d.Place)
+		q.story.Add("attempt failed", telemetry.Fields{
+			"place": d.Place, "reason": end.reason, "may_have_run": q.mayHave, "ms": time.Since(sent).Milliseconds(), "last_event": s.lastEvent,
+		})
+	}
+	return end
+}
+
+func (q *request) ticket(s *streamState) *dispatch.Ticket {
+	objective := q.route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	from := q.arrived
+	if s.begun {
+		from = time.Now()
+	}
+	t := &dispatch.Ticket{
+		Service:    q.service.Name,
+		DataCentre: q.gateway.DataCentre,
+		Priority:   q.priority,
+		OnTimeBy:   from.Add(objective),
+		GiveUpBy:   from.Add(objective),
+		Tried:      q.tried,
+		Arrived:    from,
+	}
+	if q.service.Engine != nil {
+		t.Model = q.call.Model
+		t.Prompt = q.call.Prompt
+		first := firstEventTime(q.service.Engine, q.call.Model, q.call.Prompt)
+		t.OnTimeBy = t.OnTimeBy.Add(-first)
+		t.GiveUpBy = t.OnTimeBy
+	}
+	if q.deadline.Before(t.GiveUpBy) {
+		t.GiveUpBy = q.deadline
+	}
+	return t
+}
+
+// firstEventTime estimates the time from the sending of a request to its first
+// event at a group with a usual load: half a pass of the others, the reading of
+// the prompt, and a pass of its own.
+func firstEventTime(e *catalog.Engine, model string, prompt int) time.Duration {
+	m, ok := e.Model(model)
+	if !ok || e.PromptRate <= 0 {
+		return 0
+	}
+	step := e.Step + time.Duration(e.Slots/2)*e.StepPerRequest
+	pass := time.Duration(max(e.Stride, 1)) * step
+	reading := time.Duration(float64(prompt) / e.PromptRate * float64(time.Second))
+	return time.Duration(max(m.Pace, 0.01) * float64(pass/2+reading+step))
+}
+
+func (q *request) outOfTime(err error) refusal {
+	no := refusal{status: http.StatusServiceUnavailable, reason: "timeout", retryAfter: q.gateway.Places.RetryAfter(q.service.Name, q.call.Model)}
+	if q.mayHave {
+		no.status, no.retryAfter = http.StatusGatewayTimeout, 0
+	}
+	if err != nil && !errors.Is(err, errTimeout) {
+		no.reason = err.Error()
+	}
+	return no
+}
+
+func (q *request) noPlace(d dispatch.Decision) refusal {
+	no := refusal{status: http.StatusServiceUnavailable, reason: d.Reason, retryAfter: d.RetryAfter}
+	if q.mayHave {
+		no.status, no.retryAfter = http.StatusBadGateway, 0
+	}
+	return no
+}
+
+// attempt is one sending of a request.
+type attempt struct {
+	*request
+	server exchange.Server
+	ticket *dispatch.Ticket
+	cancel context.CancelCauseFunc
+	state  *streamState
+}
+
+// run sends the request and passes the answer on.
+func (a *attempt) run(ctx context.Context, remaining time.Duration) (ending, dispatch.Result) {
+	q, g := a.request, a.gateway
+	h := make(http.Header, len(q.header)+4)
+	for name, values := range q.header {
+		h[name] = values
+	}
+	g.Dialect.Prepare(h, Attempt{
+		Server: a.server.ID, Remaining: remaining, Account: q.account,
+		LastEvent: a.state.lastEvent, Resumed: a.state.begun, Prompt: q.service.Engine != nil,
+	})
+	f := &flow{}
+	if q.route.Repeatable() && q.service.Engine != nil {
+		f.cancel = a.cancel
+	}
+	g.Progress.begin(a.server.ID, f)
+	defer g.Progress.end(a.server.ID, f)
+	g.Metrics.Attempts.WithLabelValues(a.why()).Inc()
+	answer, err := g.Pool.Do(a.patience(ctx), a.server, &exchange.Request{
+		Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: h, Body: q.body,
+		Fresh: !q.route.Repeatable(),
+		Owns:  func(status int, h http.Header, reused bool) bool { return q.owns(status, h, reused) },
+	})
+	if exchange.NotSent(err) {
+		if ctx.Err() == nil {
+			g.Pool.Drop(a.server)
+			return ending{next: again, reason: "connection failed: " + err.Error()}, dispatch.Failed
+		}
+		return ending{next: stop, refusal: q.outOfTime(context.Cause(ctx))}, dispatch.Left
+	}
+	q.contacts++
+	if err != nil {
+		q.sends++
+		return a.broken(ctx, err)
+	}
+	defer answer.Body.Close()
+	mark := g.Dialect.Read(answer.Status, answer.Header)
+	if mark.NotRun {
+		g.Places.Doubt(a.server.ID, declinedDoubt)
+		a.drain(answer)
+		return ending{next: again, sent: true, reason: "declined with status " + strconv.Itoa(answer.Status)}, dispatch.Declined
+	}
+	q.sends++
+	q.mayHave = true
+	if q.route.Kind == catalog.Stream && answer.Status == http.StatusOK {
+		return a.stream(ctx, answer, mark)
+	}
+	return a.whole(ctx, answer, mark)
+}
+
+// drain reads a short answer to its end, so that its connection can be used again.
+func (a *attempt) drain(answer *exchange.Answer) {
+	if _, err := io.CopyN(io.Discard, answer.Body, bufferedAnswer); err != nil && err != io.EOF {
+		a.story.Add("answer was not read", telemetry.Fields{"place": a.server.ID, "error": err.Error()})
+	}
+}
+
+func (a *attempt) why() string {
+	switch {
+	case a.state.begun:
+		return "resumed"
+	case a.contacts > 0:
+		return "repeated"
+	}
+	return "first"
+}
+
+// patience bounds the wait for an answer that another backend server could give.
+func (a *attempt) patience(ctx context.Context) context.Context {
+	if a.route.Kind != catalog.Safe || a.sends+1 >= a.route.MaxAttempts {
+		return ctx
+	}
+	wait := max(silentFactor*a.route.Objective, minSilent)
+	timer := time.AfterFunc(wait, func() { a.cancel(errSilent) })
+	context.AfterFunc(ctx, func() { timer.Stop() })
+	return ctx
+}
+
+// owns reports whether an answer is this request's.
+func (q *request) owns(status int, h http.Header, reused bool) bool {
+	mark := q.gateway.Dialect.Read(status, h)
+	if mark.Request != "" {
+		return mark.Request == q.call.ID
+	}
+	// Without an ID it could be a late answer to an earlier request.
+	return !reused || mark.NotRun
+}
+
+// broken ends an attempt without a whole answer.
+func (a *attempt) broken(ctx context.Context, err error) (ending, dispatch.Result) {
+	a.mayHave = true
+	a.gateway.Pool.Drop(a.server)
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errStalled), errors.Is(cause, errSilent):
+		return ending{next: again, sent: true, reason: cause.Error()}, dispatch.Failed
+	case ctx.Err() != nil:
+		result := dispatch.Left
+		if errors.Is(cause, errTimeout) {
+			result = dispatch.Failed
+		}
+		return ending{next: stop, refusal: a.outOfTime(cause)}, result
+	}
+	return ending{next: again, sent: true, reason: err.Error()}, dispatch.Failed
+}
+
+// whole passes on an answer that is not a stream.
+func (a *attempt) whole(ctx context.Context, answer *exchange.Answer, mark Mark) (ending, dispatch.Result) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedAnswer))
+	if err != nil {
+		return a.broken(ctx, errors.Wrap(err, "answer broke off"))
+	}
+	switch {
+	case answer.Status < 300 && (!mark.Signed || mark.Encoded):
+		return ending{next: again, sent: true, reason: "answer is not the server's"}, dispatch.Failed
+	case answer.Status >= 500 && a.route.Repeatable() && a.sends < a.route.MaxAttempts && !a.state.begun &&
+		a.gateway.Retries.of(a.service.Name).Wait(time.Now(), time.Second) == 0:
+		return ending{next: again, sent: true, reason: "status " + strconv.Itoa(answer.Status)}, dispatch.Served
+	case a.state.begun:
+		return ending{next: again, sent: true, reason: "stream was not resumed: status " + strconv.Itoa(answer.Status)}, dispatch.Failed
+	}
+	a.gateway.Progress.event(a.server.ID, time.Now())
+	a.setDeadline()
+	h := a.writer.Header()
+	for name, values := range passOn(answer.Header) {
+		h[name] = values
+	}
+	if len(body) < bufferedAnswer {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	} else if answer.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	a.writer.WriteHeader(answer.Status)
+	_, err = a.writer.Write(body)
+	if err == nil && len(body) == bufferedAnswer {
+		_, err = io.Copy(a.writer, answer.Body)
+	}
+	a.story.Add("answered", telemetry.Fields{"place": a.server.ID, "status": answer.Status, "bytes": len(body)})
+	return ending{next: finished, reason: outcomeServed, err: err}, dispatch.Served
+}
+
+func (a *attempt) setDeadline() {
+	if err := a.control.SetWriteDeadline(a.deadline); err != nil {
+		a.story.Add("write deadline was not set", telemetry.Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,419 @@
+package keeper
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chicorystall/chicorystall/internal/telemetry"
+	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/formation"
+	"github.com/chicorystall/chicorystall/pkg/roster"
+)
+
+const (
+	// tick is the time between two decisions.
+	tick = 100 * time.Millisecond
+	// probeTimeout is several times a round trip and a worker's usual answer.
+	probeTimeout = 300 * time.Millisecond
+	// orderTimeout bounds an order; one without an answer may still be carried out.
+	orderTimeout = 600 * time.Millisecond
+	// memberInterval is how often the members of an open group are asked when
+	// nothing points to a loss. Entries in the platform's list lapse later.
+	memberInterval = 1500 * time.Millisecond
+	// settleTime is how long after an order's answer the worker's reports may
+	// still be older than the order.
+	settleTime = 500 * time.Millisecond
+	// lostAfter is how many questions in a row a worker leaves unanswered before
+	// it counts as lost.
+	lostAfter = 2
+	// lostRecheck is how often a lost worker is asked again.
+	lostRecheck = time.Second
+	// parallel bounds the questions and orders that are under way.
+	parallel = 24
+)
+
+// Outcome is a worker's answer to an order.
+type Outcome int
+
+// The outcomes.
+const (
+	Unknown  Outcome = iota // no answer: it may be carried out later
+	Begun                   // it has begun
+	Done                    // nothing was left to do
+	Rejected                // it doesn't fit the worker's state
+)
+
+// Keeper looks after the groups of a data centre. The exported fields must be
+// set before Run; zero values of its state are ready.
+type Keeper struct {
+	DataCentre string
+	StallTime  time.Duration // after which a silent head can't be open any more
+	LoadWindow time.Duration // over which the rate of loads is counted
+	Log        *telemetry.Log
+	Metrics    *telemetry.Metrics
+
+	// Acting reports whether this instance is the data centre's keeper now.
+	Acting func() bool
+	// List returns the platform's list. A worker that is missing there is gone
+	// for certain, or can't reach the platform.
+	List func() *roster.Roster
+	// Engine returns the engine of the data centre's model workers and their service.
+	Engine func() (service string, engine *catalog.Engine)
+	// Closed reports whether the data centre is taken out.
+	Closed func() bool
+	// DataCentres returns how many data centres share the store of weights.
+	DataCentres func() int
+	// Stalled reports whether instances see a head's streams stand still.
+	Stalled func(id string) bool
+	// Moving reports whether an instance has heard from a head a moment ago.
+	Moving func(id string) bool
+	// Serving reports whether clients have sent requests.
+	Serving func() bool
+	// Report asks a worker for its report.
+	Report func(ctx context.Context, known roster.Server) (roster.Server, error)
+	// Order sends an order that holds only if the worker has begun as many orders as count says.
+	Order func(ctx context.Context, to roster.Server, o formation.Order, count int64) (Outcome, error)
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	heads   []roster.Server
+
+	forming map[string]formation.Forming
+	staging map[string]formation.Staging
+	loads   loadBudget
+	lostAt  map[string]time.Time // when a model lost a group
+}
+
+// worker is what the keeper knows of a worker.
+type worker struct {
+	server   roster.Server // newest of list and report
+	entry    roster.Server // as last listed
+	listed   bool
+	known    bool      // its count of orders is known
+	askedAt  time.Time // when its report was last asked for
+	reportAt time.Time // when the last report that came was asked for
+	failures int       // questions without an answer, in a row
+	silent   time.Time // when the first of them was asked
+	ordered  formation.Order
+	answered time.Time // when the last order was answered or given up; zero before the first
+}
+
+// settling reports whether the worker's reports may be older than its last order.
+func (w *worker) settling(now time.Time) bool {
+	return !w.answered.IsZero() && now.Sub(w.answered) < settleTime
+}
+
+func (w *worker) lost() bool { return w.failures >= lostAfter }
+
+// Run decides again and again while this instance is the keeper, until the
+// context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	acting := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := k.Acting()
+		if now != acting {
+			acting = now
+			k.Log.Info("keeper", telemetry.Fields{"acting": acting, "data_centre": k.DataCentre})
+			if !acting {
+				k.reset()
+			}
+		}
+		if acting {
+			k.step(ctx)
+		}
+	}
+}
+
+// reset forgets everything; a later turn starts from reports.
+func (k *Keeper) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.workers, k.heads = nil, nil
+	k.forming, k.staging = nil, nil
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	service, engine := k.Engine()
+	if engine == nil {
+		return
+	}
+	now := time.Now()
+	k.merge(now, service)
+	k.ask(ctx, k.toAsk(now))
+	in := k.input(time.Now(), engine)
+	d := formation.Decide(in)
+	k.forming, k.staging = d.Forming, d.Staging
+	k.tell(d.Notes)
+	k.send(ctx, d.Orders)
+	k.publish()
+}
+
+// merge takes the platform's list in.
+func (k *Keeper) merge(now time.Time, service string) {
+	list := k.List()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.workers == nil {
+		k.workers = map[string]*worker{}
+	}
+	for _, w := range k.workers {
+		w.listed = false
+	}
+	for _, s := range list.All() {
+		if s.Service != service || s.DataCentre != k.DataCentre {
+			continue
+		}
+		w := k.workers[s.ID]
+		if w == nil || !w.server.SameLife(s) {
+			w = &worker{server: s, entry: s}
+			k.workers[s.ID] = w
+		}
+		w.listed = true
+		if s.Seq != w.entry.Seq {
+			w.entry = s
+			w.takeEntry(s)
+		}
+	}
+	for id, w := range k.workers {
+		if w.listed {
+			continue
+		}
+		// A worker that is not listed but still answers leaves its group in order.
+		w.server.Draining = true
+		if w.lost() && !k.Moving(id) {
+			delete(k.workers, id)
+		}
+	}
+	for id, w := range k.workers {
+		// A head that was silent for so long has broken, or has no one to serve.
+		if w.lost() && now.Sub(w.silent) > k.StallTime+time.Second && !k.Moving(id) {
+			w.server.Membership = roster.Membership{}
+			w.known = false
+		}
+	}
+}
+
+// takeEntry takes over what a newer entry says.
+func (w *worker) takeEntry(s roster.Server) {
+	s.Orders, s.Busy, s.Pace = w.server.Orders, w.server.Busy, w.server.Pace
+	w.server = s
+}
+
+// toAsk returns the workers whose report is needed for the next decision.
+func (k *Keeper) toAsk(now time.Time) []*worker {
+	forming := map[string]bool{}
+	for _, f := range k.forming {
+		for _, id := range f.Members {
+			forming[id] = true
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	stalled := map[string]bool{} // groups
+	for id, w := range k.workers {
+		if w.server.IsHead() && k.Stalled(id) {
+			stalled[w.server.Membership.Group] = true
+		}
+	}
+	var ask []*worker
+	for id, w := range k.workers {
+		group := w.server.Membership.Group
+		due := !w.known || forming[id] || !w.listed || group != "" && stalled[group] || w.failures > 0 ||
+			group != "" && now.Sub(w.askedAt) > memberInterval
+		if !due || w.lost() && now.Sub(w.askedAt) < lostRecheck {
+			continue
+		}
+		w.askedAt = now
+		ask = append(ask, w)
+	}
+	return ask
+}
+
+// ask asks workers for their reports, side by side.
+func (k *Keeper) ask(ctx context.Context, workers []*worker) {
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, w := range workers {
+		group.Go(func() error {
+			k.askOne(ctx, w)
+			return nil
+		})
+	}
+	_ = group.Wait() // askOne records its failures with the worker
+}
+
+func (k *Keeper) askOne(ctx context.Context, w *worker) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	k.mu.Lock()
+	known := w.server
+	k.mu.Unlock()
+	began := time.Now()
+	report, err := k.Report(ctx, known)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.Metrics.Probes.WithLabelValues("failed").Inc()
+		if w.failures == 0 {
+			w.silent = began
+		}
+		if w.failures++; w.failures == lostAfter {
+			k.Log.Info("worker lost", telemetry.Fields{
+				"worker": known.ID, "group": known.Membership.Group, "error": err.Error(), "listed": w.listed,
+			})
+			if m := known.Membership; m.State != roster.Alone {
+				if k.lostAt == nil {
+					k.lostAt = map[string]time.Time{}
+				}
+				k.lostAt[formation.ModelOf(m.Group)] = began
+			}
+		}
+		return
+	}
+	k.Metrics.Probes.WithLabelValues("answered").Inc()
+	if w.failures >= lostAfter {
+		k.Log.Info("worker back", telemetry.Fields{"worker": known.ID})
+	}
+	w.failures, w.silent = 0, time.Time{}
+	if w.settling(began) && report.SameLife(w.server) {
+		// Reports lag behind; what an order's answer said of the count is newer.
+		report.Orders = max(report.Orders, w.server.Orders)
+	}
+	report.Draining = w.server.Draining
+	w.server, w.known, w.reportAt = report, true, began
+}
+
+func (k *Keeper) input(now time.Time, engine *catalog.Engine) formation.Input {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	in := formation.Input{
+		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging,
+		Closed: k.Closed(), NewName: newName,
+		MayLoad: k.loads.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
+		AtOnce:  max((engine.LoadsAtOnce+k.DataCentres()-1)/max(k.DataCentres(), 1), 1),
+	}
+	for _, w := range k.workers {
+		in.Workers = append(in.Workers, formation.Worker{
+			Server: w.server, Lost: w.lost(), Known: w.known && w.failures == 0, Cold: now.Before(w.server.ColdUntil),
+		})
+	}
+	slices.SortFunc(in.Workers, func(a, b formation.Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return in
+}
+
+func newName(model string) string {
+	const suffixBytes = 6
+	b := make([]byte, suffixBytes)
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return formation.Name(model, hex.EncodeToString(b))
+}
+
+func (k *Keeper) tell(notes []formation.Note) {
+	for _, n := range notes {
+		k.Log.Info("group "+n.Event, telemetry.Fields{"group": n.Group, "model": n.Model, "reason": n.Reason, "detail": n.Detail})
+	}
+}
+
+// send sends the orders side by side and waits for their answers.
+func (k *Keeper) send(ctx context.Context, orders []formation.Order) {
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, o := range orders {
+		group.Go(func() error {
+			k.sendOne(ctx, o)
+			return nil
+		})
+	}
+	_ = group.Wait() // sendOne records its failures with the worker
+}
+
+func (k *Keeper) sendOne(ctx context.Context, o formation.Order) {
+	k.mu.Lock()
+	w := k.workers[o.Worker]
+	if w == nil || !w.known {
+		k.mu.Unlock()
+		return
+	}
+	if w.settling(time.Now()) && w.ordered.Operation == o.Operation && w.ordered.Group == o.Group {
+		k.mu.Unlock()
+		return
+	}
+	server, count := w.server, w.server.Orders
+	if o.Loads {
+		k.loads.spend(time.Now(), 1)
+	}
+	k.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome, err := k.Order(ctx, server, o, count)
+	fields := telemetry.Fields{
+		"worker": o.Worker, "operation": o.Operation.String(), "group": o.Group, "epoch": o.Epoch, "model": o.Model,
+		"count": count, "reason": o.Reason, "outcome": outcome.String(),
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	k.Log.Info("order", fields)
+	k.Metrics.Orders.WithLabelValues(o.Operation.String(), outcome.String()).Inc()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w.ordered, w.answered = o, time.Now()
+	switch outcome {
+	case Begun:
+		w.server.Orders = max(w.server.Orders, count+1)
+	case Unknown, Rejected:
+		// The count is taken from the next report as it is.
+		w.answered, w.known = time.Time{}, false
+	}
+	if o.Operation == formation.Open && outcome == Begun {
+		if at, ok := k.lostAt[formation.ModelOf(o.Group)]; ok {
+			delete(k.lostAt, formation.ModelOf(o.Group))
+			k.Metrics.Repair.Observe(time.Since(at).Seconds())
+			k.Log.Info("group replaced", telemetry.Fields{"group": o.Group, "ms": time.Since(at).Milliseconds()})
+		}
+	}
+}
+
+// publish notes the heads that are open.
+func (k *Keeper) publish() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var heads []roster.Server
+	for _, w := range k.workers {
+		if w.server.IsHead() && w.server.Membership.State == roster.Open && !w.lost() && !w.server.Draining {
+			heads = append(heads, w.server)
+		}
+	}
+	k.heads = heads
+}
+
+// Heads returns the open heads of the data centre as the keeper knows them.
+func (k *Keeper) Heads() []roster.Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.heads)
+}
+
+// ErrRejected is the cause of an order that didn't fit the worker's state.
+var ErrRejected = errors.New("order doesn't fit the worker's state")
--- /dev/null
+++ b/pkg/dispatch/board.go
@@ -0,0 +1,362 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Verdict is what becomes of a ticket.
+type Verdict int
+
+// The verdicts.
+const (
+	Refuse Verdict = iota
+	Wait
+	Run
+)
+
+// Decision is the verdict on a ticket with what led to it.
+type Decision struct {
+	Verdict    Verdict
+	Place      string        // where it runs
+	RetryAfter time.Duration // when a refused client may come back
+	Reason     string        // why it was refused
+	Waiting    int           // requests of the same kind that wait
+	Free       int           // free places
+	Places     int           // places that may take it at all
+}
+
+// Reasons of refusals.
+const (
+	ReasonNoPlace = "no place serves it"
+	ReasonFull    = "more waits than can be served in time"
+	ReasonExpired = "no place became free in time"
+)
+
+// Defaults of Board.
+const (
+	DefaultRetryAfter = time.Second
+	DefaultMaxWaiting = 256
+	defaultRunTime    = time.Second // assumed for a place's requests until some have ended
+	runTimeShare      = 0.05        // weight of one request in the moving mean of run times
+	minRetryAfter     = 200 * time.Millisecond
+	maxRetryAfter     = 4 * time.Second
+	remoteLifetime    = time.Second // a neighbour's load counts for this long
+	noPlaceRetryAfter = 2 * time.Second
+)
+
+type kind struct{ service, model string }
+
+// Board holds places, loads and waiting tickets. It is not safe for use by
+// several goroutines at once. The zero value has no places.
+type Board struct {
+	Instances  int // processes that share the rate of a cold place; 0 counts as 1
+	MaxWaiting int // tickets of one kind that wait; 0 means DefaultMaxWaiting
+
+	places  map[string]*place
+	kinds   map[kind][]*place
+	waiting map[kind][]*Ticket
+	remotes map[string]remote
+	runTime map[kind]time.Duration
+}
+
+type remote struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// SetPlaces replaces the places. What runs at a place that is left out still counts there.
+func (b *Board) SetPlaces(now time.Time, places []Place) {
+	if b.places == nil {
+		b.places = map[string]*place{}
+		b.waiting = map[kind][]*Ticket{}
+		b.runTime = map[kind]time.Duration{}
+	}
+	for _, p := range b.places {
+		p.gone = true
+	}
+	for _, next := range places {
+		p := b.places[next.ID]
+		if p == nil {
+			p = &place{}
+			b.places[next.ID] = p
+		}
+		p.Place, p.gone = next, false
+	}
+	b.kinds = map[kind][]*place{}
+	for id, p := range b.places {
+		if p.gone {
+			if p.own.Running == 0 {
+				delete(b.places, id)
+			}
+			continue
+		}
+		k := kind{p.Service, p.Model}
+		b.kinds[k] = append(b.kinds[k], p)
+	}
+	for _, of := range b.kinds {
+		slices.SortFunc(of, func(x, y *place) int { return compareIDs(x.ID, y.ID) })
+	}
+	b.sumRemotes(now)
+}
+
+func compareIDs(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// SetRemote replaces what a neighbour has running.
+func (b *Board) SetRemote(now time.Time, instance string, loads map[string]Load) {
+	if b.remotes == nil {
+		b.remotes = map[string]remote{}
+	}
+	b.remotes[instance] = remote{loads: loads, at: now}
+	b.sumRemotes(now)
+}
+
+// sumRemotes adds up what the neighbours have running, without those not heard lately.
+func (b *Board) sumRemotes(now time.Time) {
+	for _, p := range b.places {
+		p.remote = Load{}
+	}
+	for instance, r := range b.remotes {
+		if now.Sub(r.at) > remoteLifetime {
+			delete(b.remotes, instance)
+			continue
+		}
+		for id, load := range r.loads {
+			if p := b.places[id]; p != nil {
+				p.remote.Running += load.Running
+				p.remote.Reading += load.Reading
+			}
+		}
+	}
+}
+
+// Own returns what this instance has running, by place.
+func (b *Board) Own() map[string]Load {
+	own := make(map[string]Load, len(b.places))
+	for id, p := range b.places {
+		if p.own.Running > 0 {
+			own[id] = p.own
+		}
+	}
+	return own
+}
+
+// Offer decides on a new ticket, or on one that left a place that failed it.
+func (b *Board) Offer(now time.Time, t *Ticket) Decision {
+	if t.Arrived.IsZero() {
+		t.Arrived = now
+	}
+	k := kind{t.Service, t.Model}
+	d := b.describe(k, t)
+	if d.Places == 0 {
+		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonNoPlace, noPlaceRetryAfter
+		return d
+	}
+	if p := b.choose(now, t); p != nil && !b.outranked(now, k, t) {
+		b.take(now, t, p)
+		d.Verdict, d.Place = Run, p.ID
+		return d
+	}
+	limit := b.MaxWaiting
+	if limit <= 0 {
+		limit = DefaultMaxWaiting
+	}
+	if d.Waiting >= limit || !now.Before(t.GiveUpBy) {
+		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonFull, b.retryAfter(k)
+		return d
+	}
+	t.waiting = true
+	b.waiting[k] = append(b.waiting[k], t)
+	d.Verdict = Wait
+	return d
+}
+
+// outranked reports whether a waiting ticket goes before t.
+func (b *Board) outranked(now time.Time, k kind, t *Ticket) bool {
+	for _, w := range b.waiting[k] {
+		if w.before(t, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Board) describe(k kind, t *Ticket) Decision {
+	d := Decision{Waiting: len(b.waiting[k])}
+	for _, p := range b.kinds[k] {
+		if t != nil && t.tried(p.ID) {
+			continue
+		}
+		d.Places++
+		d.Free += max(p.Slots-p.running(), 0)
+	}
+	return d
+}
+
+// choose returns the best free place for a ticket, or nil.
+func (b *Board) choose(now time.Time, t *Ticket) *place {
+	var best *place
+	var bestScore float64
+	for _, p := range b.kinds[kind{t.Service, t.Model}] {
+		if !p.free() || now.Before(p.doubtUntil) || t.tried(p.ID) || !p.bears(now, b.Instances) {
+			continue
+		}
+		if score := p.score(t, now); best == nil || score < bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best
+}
+
+func (b *Board) take(now time.Time, t *Ticket, p *place) {
+	t.place, t.waiting, t.reading = p, false, true
+	p.own.Running++
+	p.own.Reading += t.Prompt
+	if p.ColdRate > 0 && now.Before(p.ColdUntil) {
+		p.cold--
+	}
+}
+
+// Next gives free places to waiting tickets, the most urgent first, and returns
+// those that got one.
+func (b *Board) Next(now time.Time) []*Ticket {
+	var got []*Ticket
+	for k, waiting := range b.waiting {
+		if len(waiting) == 0 {
+			continue
+		}
+		slices.SortStableFunc(waiting, func(x, y *Ticket) int {
+			if x.before(y, now) {
+				return -1
+			}
+			if y.before(x, now) {
+				return 1
+			}
+			return 0
+		})
+		rest := waiting[:0]
+		for _, t := range waiting {
+			if p := b.choose(now, t); p != nil && now.Before(t.GiveUpBy) {
+				b.take(now, t, p)
+				got = append(got, t)
+				continue
+			}
+			rest = append(rest, t)
+		}
+		clear(waiting[len(rest):])
+		b.waiting[k] = rest
+	}
+	return got
+}
+
+// Expired takes out the waiting tickets whose time is up, or that no place
+// serves any more, and returns them.
+func (b *Board) Expired(now time.Time) []*Ticket {
+	var expired []*Ticket
+	for k, waiting := range b.waiting {
+		none := len(b.kinds[k]) == 0
+		b.waiting[k] = slices.DeleteFunc(waiting, func(t *Ticket) bool {
+			if now.Before(t.GiveUpBy) && !none {
+				return false
+			}
+			t.waiting = false
+			expired = append(expired, t)
+			return true
+		})
+	}
+	return expired
+}
+
+// Leave takes a ticket out that no longer waits, such as one whose client left.
+func (b *Board) Leave(t *Ticket) {
+	k := kind{t.Service, t.Model}
+	b.waiting[k] = slices.DeleteFunc(b.waiting[k], func(w *Ticket) bool { return w == t })
+	t.waiting = false
+}
+
+// Started notes that a ticket's place has read its prompt.
+func (b *Board) Started(t *Ticket) {
+	if t.place != nil && t.reading {
+		t.place.own.Reading -= t.Prompt
+		t.reading = false
+	}
+}
+
+// Result is how a request ended at its place.
+type Result int
+
+// The results.
+const (
+	Served   Result = iota
+	Failed          // the place failed it, or didn't answer
+	Declined        // the place said that it did not run it
+	Left            // the client left, or nothing was sent
+)
+
+// Done gives a ticket's place back.
+func (b *Board) Done(now time.Time, t *Ticket, result Result, ran time.Duration) {
+	p := t.place
+	if p == nil {
+		return
+	}
+	b.Started(t)
+	p.own.Running--
+	t.place = nil
+	switch result {
+	case Served:
+		p.note(now, false)
+		b.noteRunTime(kind{t.Service, t.Model}, ran)
+	case Failed:
+		p.note(now, true)
+	}
+	if p.gone && p.own.Running == 0 {
+		delete(b.places, p.ID)
+	}
+}
+
+func (b *Board) noteRunTime(k kind, ran time.Duration) {
+	mean, ok := b.runTime[k]
+	if !ok {
+		mean = ran
+	}
+	b.runTime[k] = mean + time.Duration(runTimeShare*float64(ran-mean))
+}
+
+// Doubt keeps new work away from a place until a time.
+func (b *Board) Doubt(id string, until time.Time) {
+	if p := b.places[id]; p != nil {
+		p.doubtUntil = until
+	}
+}
+
+// RetryAfter returns when a refused client of a service and model may come back.
+func (b *Board) RetryAfter(service, model string) time.Duration {
+	return b.retryAfter(kind{service, model})
+}
+
+// retryAfter estimates how long the places need for what waits here.
+func (b *Board) retryAfter(k kind) time.Duration {
+	slots := 0
+	for _, p := range b.kinds[k] {
+		slots += p.Slots
+	}
+	if slots == 0 {
+		return noPlaceRetryAfter
+	}
+	mean := b.runTime[k]
+	if mean == 0 {
+		mean = defaultRunTime
+	}
+	instances := max(b.Instances, 1)
+	ahead := float64(len(b.waiting[k])*instances+1) / float64(slots)
+	wait := time.Duration(ahead * float64(mean))
+	return min(max(wait+mean/2, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/pkg/dispatch/ticket.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Ticket is one request on its way to a place.
+type Ticket struct {
+	Service    string
+	Model      string    // empty for a plain service
+	DataCentre string    // of this instance; places there are preferred
+	Priority   int       // 0 goes first
+	Worth      float64   // worth for the engine time that the request needs; more goes first
+	Prompt     int       // tokens to read before the first event
+	OnTimeBy   time.Time // latest time to start running for an answer within its latency objective
+	GiveUpBy   time.Time // latest time to start running at all
+	Tried      []string  // places that failed it already
+
+	Arrived time.Time // set by Offer when it is zero
+
+	place   *place
+	reading bool // its prompt counts at the place
+	waiting bool
+}
+
+// Place returns the ID of the place that the ticket holds, or an empty string.
+func (t *Ticket) Place() string {
+	if t.place == nil {
+		return ""
+	}
+	return t.place.ID
+}
+
+// before reports whether t gets a free place before other.
+func (t *Ticket) before(other *Ticket, now time.Time) bool {
+	if a, b := now.Before(t.OnTimeBy), now.Before(other.OnTimeBy); a != b {
+		return a
+	}
+	if t.Priority != other.Priority {
+		return t.Priority < other.Priority
+	}
+	if t.Worth != other.Worth {
+		return t.Worth > other.Worth
+	}
+	return t.Arrived.Before(other.Arrived)
+}
+
+func (t *Ticket) tried(id string) bool { return slices.Contains(t.Tried, id) }
--- /dev/null
+++ b/pkg/formation/choose.go
@@ -0,0 +1,221 @@
+package formation
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/chicorystall/chicorystall/pkg/catalog"
+)
+
+// demand is a model's share of the engine time.
+func demand(m catalog.Model) float64 { return m.Share * max(m.Pace, 0.01) }
+
+// wanted returns the models in the order in which another group of each serves
+// most. A model without any group goes first.
+func (d *decider) wanted() []catalog.Model {
+	models := slices.Clone(d.Engine.Models)
+	slices.SortStableFunc(models, func(a, b catalog.Model) int {
+		if x, y := d.counts[a.Name] == 0, d.counts[b.Name] == 0; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(demand(b)/float64(d.counts[b.Name]+1), demand(a)/float64(d.counts[a.Name]+1))
+	})
+	return models
+}
+
+// candidate is a list of free workers of one domain for one group.
+type candidate struct {
+	members []*Worker // the first is the head
+	loading []string
+	spare   int // free workers that the domain keeps
+}
+
+// form decides on one more group and reports whether it found one.
+func (d *decider) form() bool {
+	models := d.wanted()
+	for i, model := range models {
+		best, ok := d.candidate(model, models[:i])
+		if !ok {
+			continue
+		}
+		d.epoch++
+		f := Forming{
+			Group: d.NewName(model.Name), Epoch: d.epoch, Model: model.Name, Loading: best.loading, Since: d.Now,
+		}
+		for _, w := range best.members {
+			f.Members = append(f.Members, w.ID)
+			delete(d.free, w.ID)
+			delete(d.d.Staging, w.ID)
+		}
+		for _, w := range best.members {
+			d.order(d.join(f, w))
+		}
+		d.MayLoad -= len(best.loading)
+		d.d.Forming[f.Group] = f
+		d.counts[model.Name]++
+		d.note(Note{Group: f.Group, Model: f.Model, Event: "formed",
+			Detail: fmt.Sprintf("domain %s, %d members, %d loads, %d spare", best.members[0].Domain, len(f.Members), len(f.Loading), best.spare)})
+		return true
+	}
+	return false
+}
+
+// candidate returns the workers for a group of a model that need the fewest
+// loads. What groups of the models in better wait for is left to them.
+func (d *decider) candidate(model catalog.Model, better []catalog.Model) (candidate, bool) {
+	domains := map[string][]*Worker{}
+	for _, id := range sortedKeys(d.free) {
+		w := d.free[id]
+		domains[w.Domain] = append(domains[w.Domain], w)
+	}
+	var best candidate
+	found := false
+	for _, domain := range sortedKeys(domains) {
+		c, ok := d.pick(model, better, domains[domain])
+		if !ok {
+			continue
+		}
+		if !found || len(c.loading) < len(best.loading) || len(c.loading) == len(best.loading) && c.spare > best.spare {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func (d *decider) pick(model catalog.Model, better []catalog.Model, workers []*Worker) (candidate, bool) {
+	if len(workers) < model.Size {
+		return candidate{}, false
+	}
+	slices.SortStableFunc(workers, func(a, b *Worker) int {
+		return cmp.Compare(d.joinRank(a, model, better), d.joinRank(b, model, better))
+	})
+	c := candidate{members: slices.Clone(workers[:model.Size]), spare: len(workers) - model.Size}
+	for _, w := range c.members {
+		if !d.warm(w, model) {
+			c.loading = append(c.loading, w.ID)
+		}
+	}
+	if n := len(c.loading); n > 0 {
+		if n > d.MayLoad {
+			return candidate{}, false
+		}
+		if running := d.loading(); running > 0 && running+n > d.AtOnce {
+			return candidate{}, false
+		}
+		if d.robs(c, better, workers) {
+			return candidate{}, false
+		}
+	}
+	// A cold head would hold its group's rate down.
+	slices.SortStableFunc(c.members, func(a, b *Worker) int { return cmp.Compare(coldRank(a), coldRank(b)) })
+	return c, true
+}
+
+func coldRank(w *Worker) int {
+	if w.Cold {
+		return 1
+	}
+	return 0
+}
+
+// joinRank orders workers by how well they suit a group of the model.
+func (d *decider) joinRank(w *Worker, model catalog.Model, better []catalog.Model) int {
+	switch {
+	case w.Membership.Group != "" && ModelOf(w.Membership.Group) == model.Name:
+		return 0
+	case d.warm(w, model):
+		return 1
+	case slices.ContainsFunc(better, func(m catalog.Model) bool { return d.warm(w, m) }):
+		return 3
+	}
+	return 2
+}
+
+// warm reports whether a worker joins a group of the model without a load of its own.
+func (d *decider) warm(w *Worker, model catalog.Model) bool {
+	return w.HasStaged(model.Name) || d.d.Staging[w.ID].Model == model.Name
+}
+
+// robs reports whether a candidate takes workers that a group of a better model
+// has ready but for one.
+func (d *decider) robs(c candidate, better []catalog.Model, workers []*Worker) bool {
+	for _, model := range better {
+		before, after := 0, 0
+		for _, w := range workers {
+			if !d.warm(w, model) {
+				continue
+			}
+			before++
+			if !slices.Contains(c.members, w) {
+				after++
+			}
+		}
+		if before >= model.Size-1 && after < model.Size-1 {
+			return true
+		}
+	}
+	return false
+}
+
+// stage orders weights for free workers, those first whose domain would have to
+// wait for a load after a loss.
+func (d *decider) stage() {
+	for _, id := range sortedKeys(d.free) {
+		w := d.free[id]
+		if d.MayLoad <= 0 || d.loading() >= d.AtOnce {
+			return
+		}
+		if _, staging := d.d.Staging[id]; staging || w.Busy {
+			continue
+		}
+		model, ok := d.needed(w)
+		if !ok {
+			continue
+		}
+		d.order(Order{Worker: id, Operation: Stage, Model: model.Name, Loads: true, Reason: "spare of its domain"})
+		d.d.Staging[id] = Staging{Model: model.Name, Since: d.Now}
+		d.MayLoad--
+	}
+}
+
+// needed returns the model that a spare worker's domain lacks most: the one with
+// the most members in its groups for each spare that has its weights.
+func (d *decider) needed(w *Worker) (catalog.Model, bool) {
+	var best catalog.Model
+	var bestNeed float64
+	for _, model := range d.Engine.Models {
+		members, spares := 0, 0
+		for i := range d.Workers {
+			other := &d.Workers[i]
+			if other.Domain != w.Domain || other.Lost {
+				continue
+			}
+			if d.free[other.ID] != nil {
+				if d.warm(other, model) {
+					spares++
+				}
+			} else if ModelOf(other.Membership.Group) == model.Name {
+				members++
+			}
+		}
+		for _, f := range d.d.Forming {
+			if f.Model == model.Name && slices.Contains(f.Members, w.ID) {
+				members++
+			}
+		}
+		if d.warm(w, model) {
+			if spares <= 1 {
+				return catalog.Model{}, false // the domain's only spare for that model
+			}
+			continue
+		}
+		if need := float64(members) / float64(spares+1); spares == 0 && need > bestNeed {
+			best, bestNeed = model, need
+		}
+	}
+	return best, bestNeed > 0
+}
