keeper, platform: members of a silent head wait until it must have broken

Cause: a head that is cut off from its keeper may be open still; its members were joined to another group once its entry had lapsed.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	lostAfter = 2
 	// lostRecheck is how often a lost worker is asked again.
 	lostRecheck = time.Second
+	// breakMargin is added to the time in which groups break.
+	breakMargin = time.Second
 	// parallel bounds the questions and orders that are under way.
 	parallel = 24
 )
@@ -101,6 +104,7 @@
 	reportAt time.Time // when the last report that came was asked for
 	failures int       // questions without an answer, in a row
 	silent   time.Time // when the first of them was asked
+	ended    bool      // its address answered for it: no process, or another worker
 	ordered  formation.Order
 	answered time.Time // when the last order was answered or given up; zero before the first
 }
@@ -189,22 +193,32 @@
 		}
 	}
 	for id, w := range k.workers {
-		if w.listed {
+		if !w.listed {
+			// A worker that is not listed but still answers leaves its group in order.
+			w.server.Draining = true
+		}
+		if !k.gone(w, now) {
 			continue
 		}
-		// A worker that is not listed but still answers leaves its group in order.
-		w.server.Draining = true
-		if w.lost() && !k.Moving(id) {
-			delete(k.workers, id)
+		if w.listed {
+			w.server.Membership, w.known = roster.Membership{}, false
+			continue
 		}
+		delete(k.workers, id)
 	}
-	for id, w := range k.workers {
-		// A head that was silent for so long has broken, or has no one to serve.
-		if w.lost() && now.Sub(w.silent) > k.StallTime+time.Second && !k.Moving(id) {
-			w.server.Membership = roster.Membership{}
-			w.known = false
-		}
+}
+
+// gone reports whether a worker that doesn't answer can't be serving any more.
+// A silent head may be cut off from here only, and still be open; it has broken
+// for certain when it has been silent for longer than groups take to break.
+func (k *Keeper) gone(w *worker, now time.Time) bool {
+	switch {
+	case !w.lost() || k.Moving(w.server.ID):
+		return false
+	case !w.server.IsHead() || w.ended:
+		return true
 	}
+	return now.Sub(w.silent) > k.StallTime+breakMargin
 }
 
 // takeEntry takes over what a newer entry says.
@@ -271,6 +285,7 @@
 		if w.failures == 0 {
 			w.silent = began
 		}
+		w.ended = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrAnotherWorker)
 		if w.failures++; w.failures == lostAfter {
 			k.Log.Info("worker lost", telemetry.Fields{
 				"worker": known.ID, "group": known.Membership.Group, "error": err.Error(), "listed": w.listed,
@@ -288,7 +303,7 @@
 	if w.failures >= lostAfter {
 		k.Log.Info("worker back", telemetry.Fields{"worker": known.ID})
 	}
-	w.failures, w.silent = 0, time.Time{}
+	w.failures, w.silent, w.ended = 0, time.Time{}, false
 	if w.settling(began) && report.SameLife(w.server) {
 		// Reports lag behind; what an order's answer said of the count is newer.
 		report.Orders = max(report.Orders, w.server.Orders)
@@ -415,5 +430,18 @@
 	return slices.Clone(k.heads)
 }
 
-// ErrRejected is the cause of an order that didn't fit the worker's state.
-var ErrRejected = errors.New("order doesn't fit the worker's state")
+// ErrAnotherWorker marks a question that another worker at the address answered.
+var ErrAnotherWorker = errors.New("address belongs to another worker")
+
+// Silent returns the heads that do not answer, for other instances to ask.
+func (k *Keeper) Silent() []roster.Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var silent []roster.Server
+	for _, w := range k.workers {
+		if w.lost() && w.server.IsHead() {
+			silent = append(silent, w.server)
+		}
+	}
+	return silent
+}
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -25,6 +25,10 @@
 	// Keeper is set by the instance that looks after its data centre's groups.
 	Keeper bool   `cbor:"11,keyasint,omitempty"`
 	Heads  []Head `cbor:"12,keyasint,omitempty"` // open heads, from a keeper only
+	// Silent are heads that don't answer a keeper, Reached those of them that
+	// answer the sender.
+	Silent  []Silent `cbor:"13,keyasint,omitempty"`
+	Reached []string `cbor:"14,keyasint,omitempty"`
 }
 
 // Load is what an instance has running at a place.
@@ -35,6 +39,13 @@
 	Reading int // prompt tokens of the requests without a first event
 }
 
+// Silent is a head that doesn't answer a keeper.
+type Silent struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Address string
+}
+
 // Head is the head of an open group.
 type Head struct {
 	_      struct{} `cbor:",toarray"`
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -36,10 +36,10 @@
 	Slots      int // requests that it runs side by side
 	Draining   bool
 	ColdUntil  time.Time // end of its cold start
-	Born       int64         // milliseconds since 1970 of its start; 0 when not reported
-	Domain     string        // fabric domain
-	Staged     []string      // models whose weights are on the host
-	Models     []string      // models that are loaded
+	Born       int64     // milliseconds since 1970 of its start; 0 when not reported
+	Domain     string    // fabric domain
+	Staged     []string  // models whose weights are on the host
+	Models     []string  // models that are loaded
 	Membership Membership
 	Orders     int64 // orders that it has begun since its start
 	Busy       bool  // an order is in progress
