keeper, formation: a group without a known head is not taken apart at once

Cause: an instance that took over did not know a head that had just left the list and was still serving, and joined its members to another group. Change: all instances follow the list, also when another one is the keeper; members of a group whose head is not known are free once it was seen to leave, or after the time in which groups break.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -36,6 +36,9 @@
 	lostAfter = 2
 	// lostRecheck is how often a lost worker is asked again.
 	lostRecheck = time.Second
+	// forgetUnlisted is how long an instance that is not the keeper remembers a
+	// worker that left the list; none serves on for so long.
+	forgetUnlisted = 30 * time.Second
 	// breakMargin is added to the time in which groups break.
 	breakMargin = time.Second
 	// parallel bounds the questions and orders that are under way.
@@ -87,26 +90,30 @@
 	mu      sync.Mutex
 	workers map[string]*worker
 	heads   []roster.Server
+	list    *roster.Roster // the last that was taken in
 
-	forming map[string]formation.Forming
-	staging map[string]formation.Staging
-	loads   loadBudget
-	lostAt  map[string]time.Time // when a model lost a group
+	headless      map[string]bool      // groups whose head was seen to leave
+	headlessSince map[string]time.Time // groups without a known head
+	forming       map[string]formation.Forming
+	staging       map[string]formation.Staging
+	loads         loadBudget
+	lostAt        map[string]time.Time // when a model lost a group
 }
 
 // worker is what the keeper knows of a worker.
 type worker struct {
-	server   roster.Server // newest of list and report
-	entry    roster.Server // as last listed
-	listed   bool
-	known    bool      // its count of orders is known
-	askedAt  time.Time // when its report was last asked for
-	reportAt time.Time // when the last report that came was asked for
-	failures int       // questions without an answer, in a row
-	silent   time.Time // when the first of them was asked
-	ended    bool      // its address answered for it: no process, or another worker
-	ordered  formation.Order
-	answered time.Time // when the last order was answered or given up; zero before the first
+	server     roster.Server // newest of list and report
+	entry      roster.Server // as last listed
+	listed     bool
+	unlistedAt time.Time // when it was first missing in the list
+	known      bool      // its count of orders is known
+	askedAt    time.Time // when its report was last asked for
+	reportAt   time.Time // when the last report that came was asked for
+	failures   int       // questions without an answer, in a row
+	silent     time.Time // when the first of them was asked
+	ended      bool      // its address answered for it: no process, or another worker
+	ordered    formation.Order
+	answered   time.Time // when the last order was answered or given up; zero before the first
 }
 
 // settling reports whether the worker's reports may be older than its last order.
@@ -138,16 +145,24 @@
 		}
 		if acting {
 			k.step(ctx)
+			continue
+		}
+		// The list is followed all the while, so that a head that left it just
+		// before this instance takes over is known.
+		if service, _ := k.Engine(); service != "" {
+			k.merge(time.Now(), service, false)
 		}
 	}
 }
 
-// reset forgets everything; a later turn starts from reports.
+// reset forgets what was under way; a later turn starts from reports.
 func (k *Keeper) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.workers, k.heads = nil, nil
-	k.forming, k.staging = nil, nil
+	k.heads, k.forming, k.staging = nil, nil, nil
+	for _, w := range k.workers {
+		w.known, w.failures = false, 0
+	}
 }
 
 func (k *Keeper) step(ctx context.Context) {
@@ -156,7 +171,7 @@
 		return
 	}
 	now := time.Now()
-	k.merge(now, service)
+	k.merge(now, service, true)
 	k.ask(ctx, k.toAsk(now))
 	in := k.input(time.Now(), engine)
 	d := formation.Decide(in)
@@ -166,9 +181,14 @@
 	k.publish()
 }
 
-// merge takes the platform's list in.
-func (k *Keeper) merge(now time.Time, service string) {
+// merge takes the platform's list in. Only a keeper that asks the workers can
+// tell which of those that are not listed are gone.
+func (k *Keeper) merge(now time.Time, service string, acting bool) {
 	list := k.List()
+	if !acting && list == k.list {
+		return
+	}
+	k.list = list
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.workers == nil {
@@ -183,23 +203,36 @@
 		}
 		w := k.workers[s.ID]
 		if w == nil || !w.server.SameLife(s) {
+			if w != nil {
+				k.leftGroup(w.server)
+			}
 			w = &worker{server: s, entry: s}
 			k.workers[s.ID] = w
 		}
-		w.listed = true
+		w.listed, w.unlistedAt = true, time.Time{}
 		if s.Seq != w.entry.Seq {
 			w.entry = s
-			w.takeEntry(s)
+			k.takeEntry(w, s)
 		}
 	}
 	for id, w := range k.workers {
 		if !w.listed {
 			// A worker that is not listed but still answers leaves its group in order.
 			w.server.Draining = true
+			if w.unlistedAt.IsZero() {
+				w.unlistedAt = now
+			}
+		}
+		if !acting {
+			if !w.listed && now.Sub(w.unlistedAt) > forgetUnlisted {
+				delete(k.workers, id)
+			}
+			continue
 		}
 		if !k.gone(w, now) {
 			continue
 		}
+		k.leftGroup(w.server)
 		if w.listed {
 			w.server.Membership, w.known = roster.Membership{}, false
 			continue
@@ -222,11 +255,66 @@
 }
 
 // takeEntry takes over what a newer entry says.
-func (w *worker) takeEntry(s roster.Server) {
+func (k *Keeper) takeEntry(w *worker, s roster.Server) {
 	s.Orders, s.Busy, s.Pace = w.server.Orders, w.server.Busy, w.server.Pace
+	k.replace(w, s)
+}
+
+// replace takes over what a worker says of itself.
+func (k *Keeper) replace(w *worker, s roster.Server) {
+	if s.Membership.Group != w.server.Membership.Group || s.Membership.Epoch != w.server.Membership.Epoch {
+		k.leftGroup(w.server)
+	}
 	w.server = s
 }
 
+// leftGroup notes that a head serves its group no more, so that its members are free.
+func (k *Keeper) leftGroup(was roster.Server) {
+	if !was.IsHead() {
+		return
+	}
+	if k.headless == nil {
+		k.headless = map[string]bool{}
+	}
+	k.headless[was.Membership.Group] = true
+}
+
+// headlessGroups returns the groups whose head certainly serves no more: it was
+// seen to leave, or nothing was heard of it for longer than groups take to break.
+func (k *Keeper) headlessGroups(now time.Time) map[string]bool {
+	heads, groups := map[string]bool{}, map[string]bool{}
+	for _, w := range k.workers {
+		if m := w.server.Membership; m.State != roster.Alone {
+			groups[m.Group] = true
+			if m.Rank == 0 {
+				heads[m.Group] = true
+			}
+		}
+	}
+	since := map[string]time.Time{}
+	for group := range groups {
+		if heads[group] {
+			continue
+		}
+		first, ok := k.headlessSince[group]
+		if !ok {
+			first = now
+		}
+		since[group] = first
+	}
+	k.headlessSince = since
+	gone := map[string]bool{}
+	for group, first := range since {
+		gone[group] = k.headless[group] || now.Sub(first) > k.StallTime+breakMargin
+	}
+	for group := range k.headless {
+		if !groups[group] {
+			delete(k.headless, group)
+		}
+	}
+	return gone
+}
+
 // toAsk returns the workers whose report is needed for the next decision.
 func (k *Keeper) toAsk(now time.Time) []*worker {
 	forming := map[string]bool{}
@@ -309,7 +397,8 @@
 		report.Orders = max(report.Orders, w.server.Orders)
 	}
 	report.Draining = w.server.Draining
-	w.server, w.known, w.reportAt = report, true, began
+	k.replace(w, report)
+	w.known, w.reportAt = true, began
 }
 
 func (k *Keeper) input(now time.Time, engine *catalog.Engine) formation.Input {
@@ -318,8 +407,9 @@
 	in := formation.Input{
 		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging,
 		Closed: k.Closed(), NewName: newName,
-		MayLoad: k.loads.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
-		AtOnce:  max((engine.LoadsAtOnce+k.DataCentres()-1)/max(k.DataCentres(), 1), 1),
+		MayLoad:  k.loads.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
+		Headless: k.headlessGroups(now),
+		AtOnce:   max((engine.LoadsAtOnce+k.DataCentres()-1)/max(k.DataCentres(), 1), 1),
 	}
 	for _, w := range k.workers {
 		in.Workers = append(in.Workers, formation.Worker{
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -67,6 +67,9 @@
 	Workers []Worker
 	Forming map[string]Forming // by group
 	Staging map[string]Staging // by worker
+	// Headless are the groups whose head certainly serves no more, although
+	// it is not among the workers.
+	Headless map[string]bool
 	// Closed data centres form no groups; those that are there stay.
 	Closed bool
 	// MayLoad is how many loads may begin now.
@@ -264,7 +267,9 @@
 		head = members[0]
 	}
 	if head == nil {
-		d.release(members)
+		if d.Headless[group] {
+			d.release(members)
+		}
 		return
 	}
 	if head.Lost {
