formation, keeper: spares hold their model ready; losses are found and repaired sooner

Cause: a group that lost a member was away for 2.5 s: a stall was suspected after 500 ms and confirmed in 600 ms, reports that lag overrode newer entries of the platform's list, and a spare took the time of a warm join. Change: spares join a group of their own, so that they join another one of the same model in 0.2 s; entries go before reports that may be older; groups that would need a load wait while workers return to their domain.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,7 +78,7 @@
 	}
 	q.story.Add("placed", telemetry.Fields{
 		"place": d.Place, "data_centre": server.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(began).Milliseconds(),
-		"free": d.Free, "waiting": d.Waiting, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
+		"running": d.Running, "free": d.Free, "waiting": d.Waiting, "prompt": q.call.Prompt, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
 	})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -12,10 +12,14 @@
 	// progressInterval is how often streams are looked at.
 	progressInterval = 100 * time.Millisecond
 	// stallSuspected is several times the longest pass of a full engine.
-	stallSuspected = 500 * time.Millisecond
+	stallSuspected = 300 * time.Millisecond
+	// stallDoubted is when a head gets no new work.
+	stallDoubted = 450 * time.Millisecond
 	// stallCertain leaves a client, who waits two seconds at least, time for a
 	// resumption elsewhere.
 	stallCertain = 1100 * time.Millisecond
+	// movingFor is how long a head counts as serving after its last event.
+	movingFor = 500 * time.Millisecond
 	// suspended is a gap between two looks after which nothing is concluded,
 	// because this process itself did not run.
 	suspended = 3 * progressInterval
@@ -117,7 +121,7 @@
 	defer p.mu.Unlock()
 	var moving []string
 	for place, h := range p.heads {
-		if now.Sub(h.last) < stallSuspected {
+		if now.Sub(h.last) < movingFor {
 			moving = append(moving, place)
 		}
 	}
@@ -155,7 +159,9 @@
 			continue
 		}
 		p.setStalled(place, h, true, idle)
-		doubt(place)
+		if idle >= stallDoubted {
+			doubt(place)
+		}
 		if idle < stallCertain {
 			continue
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,9 +15,11 @@
 
 // streamState is what the client has of a stream, over all attempts.
 type streamState struct {
-	begun     bool  // the client has the head of the answer
-	lastEvent int64 // the last event that the client has
-	at        time.Time
+	begun     bool          // the client has the head of the answer
+	lastEvent int64         // the last event that the client has
+	first     time.Duration // from the request's arrival to the first event
+	at        time.Time     // of the last event
+	pause     time.Duration // the longest between two events
 }
 
 // errGap ends an attempt whose events don't go on where the client's end.
@@ -61,8 +63,10 @@
 			s.lastEvent = e.id
 		}
 		if s.at.IsZero() {
-			g.Metrics.FirstEvent.Observe(now.Sub(a.arrived).Seconds())
+			s.first = now.Sub(a.arrived)
+			g.Metrics.FirstEvent.Observe(s.first.Seconds())
 		} else {
+			s.pause = max(s.pause, now.Sub(s.at))
 			g.Metrics.Pauses.Observe(now.Sub(s.at).Seconds())
 		}
 		s.at = now
@@ -70,7 +74,10 @@
 	if !s.begun {
 		a.beginStream(answer)
 	}
-	a.story.Add("answered", telemetry.Fields{"place": a.server.ID, "status": http.StatusOK, "last_event": s.lastEvent})
+	a.story.Add("answered", telemetry.Fields{
+		"place": a.server.ID, "status": http.StatusOK, "last_event": s.lastEvent,
+		"first_event_ms": s.first.Milliseconds(), "longest_pause_ms": s.pause.Milliseconds(),
+	})
 	return ending{next: finished, reason: outcomeServed}, dispatch.Served
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -20,9 +20,9 @@
 
 const (
 	// tick is the time between two decisions.
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// probeTimeout is several times a round trip and a worker's usual answer.
-	probeTimeout = 300 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
 	// orderTimeout bounds an order; one without an answer may still be carried out.
 	orderTimeout = 600 * time.Millisecond
 	// memberInterval is how often the members of an open group are asked when
@@ -31,6 +31,12 @@
 	// settleTime is how long after an order's answer the worker's reports may
 	// still be older than the order.
 	settleTime = 500 * time.Millisecond
+	// reportLag is how much older than its answer a report may be. Entries in the
+	// platform's list are written at once when a group's state changes.
+	reportLag = 350 * time.Millisecond
+	// noteInterval is how often the same event of a group is logged.
+	noteInterval = 5 * time.Second
+	maxTold      = 256 // notes that are remembered for that
 	// lostAfter is how many questions in a row a worker leaves unanswered before
 	// it counts as lost.
 	lostAfter = 2
@@ -40,7 +46,7 @@
 	// worker that left the list; none serves on for so long.
 	forgetUnlisted = 30 * time.Second
 	// breakMargin is added to the time in which groups break.
-	breakMargin = time.Second
+	breakMargin = 400 * time.Millisecond
 	// parallel bounds the questions and orders that are under way.
 	parallel = 24
 )
@@ -92,6 +98,7 @@
 	heads   []roster.Server
 	list    *roster.Roster // the last that was taken in
 
+	told          map[formation.Note]time.Time
 	headless      map[string]bool      // groups whose head was seen to leave
 	headlessSince map[string]time.Time // groups without a known head
 	forming       map[string]formation.Forming
@@ -104,6 +111,8 @@
 type worker struct {
 	server     roster.Server // newest of list and report
 	entry      roster.Server // as last listed
+	entryAt    time.Time     // when that was taken in
+	seenAt     time.Time
 	listed     bool
 	unlistedAt time.Time // when it was first missing in the list
 	known      bool      // its count of orders is known
@@ -206,12 +215,12 @@
 			if w != nil {
 				k.leftGroup(w.server)
 			}
-			w = &worker{server: s, entry: s}
+			w = &worker{server: s, entry: s, entryAt: now, seenAt: now}
 			k.workers[s.ID] = w
 		}
 		w.listed, w.unlistedAt = true, time.Time{}
 		if s.Seq != w.entry.Seq {
-			w.entry = s
+			w.entry, w.entryAt = s, now
 			k.takeEntry(w, s)
 		}
 	}
@@ -317,12 +326,6 @@
 
 // toAsk returns the workers whose report is needed for the next decision.
 func (k *Keeper) toAsk(now time.Time) []*worker {
-	forming := map[string]bool{}
-	for _, f := range k.forming {
-		for _, id := range f.Members {
-			forming[id] = true
-		}
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	stalled := map[string]bool{} // groups
@@ -332,9 +335,10 @@
 		}
 	}
 	var ask []*worker
-	for id, w := range k.workers {
+	for _, w := range k.workers {
 		group := w.server.Membership.Group
-		due := !w.known || forming[id] || !w.listed || group != "" && stalled[group] || w.failures > 0 ||
+		due := !w.known || !w.listed || group != "" && stalled[group] || w.failures > 0 ||
+			w.settling(now) && now.Sub(w.entryAt) > reportLag && now.Sub(w.askedAt) > reportLag ||
 			group != "" && now.Sub(w.askedAt) > memberInterval
 		if !due || w.lost() && now.Sub(w.askedAt) < lostRecheck {
 			continue
@@ -397,6 +401,9 @@
 		report.Orders = max(report.Orders, w.server.Orders)
 	}
 	report.Draining = w.server.Draining
+	if w.listed && began.Sub(w.entryAt) < reportLag {
+		report.Membership, report.Staged, report.Models = w.server.Membership, w.server.Staged, w.server.Models
+	}
 	k.replace(w, report)
 	w.known, w.reportAt = true, began
 }
@@ -406,14 +413,14 @@
 	defer k.mu.Unlock()
 	in := formation.Input{
 		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging,
-		Closed: k.Closed(), NewName: newName,
+		Closed: k.Closed(), Serving: k.Serving(), NewName: newName,
 		MayLoad:  k.loads.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
 		Headless: k.headlessGroups(now),
 		AtOnce:   max((engine.LoadsAtOnce+k.DataCentres()-1)/max(k.DataCentres(), 1), 1),
 	}
 	for _, w := range k.workers {
 		in.Workers = append(in.Workers, formation.Worker{
-			Server: w.server, Lost: w.lost(), Known: w.known && w.failures == 0, Cold: now.Before(w.server.ColdUntil),
+			Server: w.server, Lost: w.lost(), Known: w.known && w.failures == 0, Cold: now.Before(w.server.ColdUntil), Since: w.seenAt,
 		})
 	}
 	slices.SortFunc(in.Workers, func(a, b formation.Worker) int {
@@ -435,7 +442,15 @@
 }
 
 func (k *Keeper) tell(notes []formation.Note) {
+	now := time.Now()
 	for _, n := range notes {
+		if told, ok := k.told[n]; ok && now.Sub(told) < noteInterval {
+			continue
+		}
+		if k.told == nil || len(k.told) > maxTold {
+			k.told = map[formation.Note]time.Time{}
+		}
+		k.told[n] = now
 		k.Log.Info("group "+n.Event, telemetry.Fields{"group": n.Group, "model": n.Model, "reason": n.Reason, "detail": n.Detail})
 	}
 }
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -19,6 +19,7 @@
 type Decision struct {
 	Verdict    Verdict
 	Place      string        // where it runs
+	Running    int           // what runs there besides
 	RetryAfter time.Duration // when a refused client may come back
 	Reason     string        // why it was refused
 	Waiting    int           // requests of the same kind that wait
@@ -161,8 +162,8 @@
 		return d
 	}
 	if p := b.choose(now, t); p != nil && !b.outranked(now, k, t) {
+		d.Verdict, d.Place, d.Running = Run, p.ID, p.running()
 		b.take(now, t, p)
-		d.Verdict, d.Place = Run, p.ID
 		return d
 	}
 	limit := b.MaxWaiting
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
 // demand is a model's share of the engine time.
@@ -106,7 +107,7 @@
 		if running := d.loading(); running > 0 && running+n > d.AtOnce {
 			return candidate{}, false
 		}
-		if d.robs(c, better, workers) {
+		if d.robs(c, better, workers) || d.Serving && d.unsettled(workers[0].Domain) {
 			return candidate{}, false
 		}
 	}
@@ -115,6 +116,16 @@
 	return c, true
 }
 
+// unsettled reports whether workers have come to a domain just now.
+func (d *decider) unsettled(domain string) bool {
+	for i := range d.Workers {
+		if w := &d.Workers[i]; w.Domain == domain && d.Now.Sub(w.Since) < quietTime {
+			return true
+		}
+	}
+	return false
+}
+
 func coldRank(w *Worker) int {
 	if w.Cold {
 		return 1
@@ -125,7 +136,7 @@
 // joinRank orders workers by how well they suit a group of the model.
 func (d *decider) joinRank(w *Worker, model catalog.Model, better []catalog.Model) int {
 	switch {
-	case w.Membership.Group != "" && ModelOf(w.Membership.Group) == model.Name:
+	case ModelOf(w.Membership.Group) == model.Name && w.Membership.State != roster.Joining:
 		return 0
 	case d.warm(w, model):
 		return 1
@@ -161,27 +172,39 @@
 	return false
 }
 
-// stage orders weights for free workers, those first whose domain would have to
-// wait for a load after a loss.
-func (d *decider) stage() {
+// prepare lets free workers hold a model ready, those first whose domain would
+// have to wait for a load after a loss. A worker in a group of its own joins
+// another group of the same model many times faster than one that has the
+// weights on its host only.
+func (d *decider) prepare() {
 	for _, id := range sortedKeys(d.free) {
 		w := d.free[id]
-		if d.MayLoad <= 0 || d.loading() >= d.AtOnce {
-			return
-		}
-		if _, staging := d.d.Staging[id]; staging || w.Busy {
+		if _, staging := d.d.Staging[id]; staging || w.Busy || w.Membership.State == roster.Joining {
 			continue
 		}
 		model, ok := d.needed(w)
-		if !ok {
-			continue
+		switch {
+		case ok && d.MayLoad > 0 && d.loading() < d.AtOnce:
+			d.d.Staging[id] = Staging{Model: model.Name, Since: d.Now}
+			d.MayLoad--
+			d.park(w, model.Name, true)
+		case !ok && w.Membership.State == roster.Alone && len(w.Staged) > 0:
+			if model, known := d.Engine.Model(w.Staged[len(w.Staged)-1]); known {
+				d.park(w, model.Name, false)
+			}
 		}
-		d.order(Order{Worker: id, Operation: Stage, Model: model.Name, Loads: true, Reason: "spare of its domain"})
-		d.d.Staging[id] = Staging{Model: model.Name, Since: d.Now}
-		d.MayLoad--
 	}
 }
 
+// park orders a worker into a group of its own.
+func (d *decider) park(w *Worker, model string, loads bool) {
+	d.epoch++
+	d.order(Order{
+		Worker: w.ID, Operation: Join, Group: spareName(d.NewName(model)), Epoch: d.epoch, Model: model,
+		Members: []string{w.ID}, Loads: loads, Reason: "spare of its domain",
+	})
+}
+
 // needed returns the model that a spare worker's domain lacks most: the one with
 // the most members in its groups for each spare that has its weights.
 func (d *decider) needed(w *Worker) (catalog.Model, bool) {
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -20,7 +20,6 @@
 	Open            // the head starts to take requests
 	Close           // the head takes no more requests
 	Leave           // the worker is in no group
-	Stage           // the worker loads a model's weights onto its host
 )
 
 // Order is an order to one worker.
@@ -29,7 +28,7 @@
 	Operation Operation
 	Group     string
 	Epoch     int64
-	Model     string   // of Join and Stage
+	Model     string   // of Join
 	Members   []string // of Join; the first is the head
 	Cancel    bool     // of Close: breaks off what runs
 	Loads     bool     // reads weights from the shared store
@@ -42,6 +41,7 @@
 	Lost  bool // doesn't answer and is overdue
 	Known bool // has reported in this life, so that orders can name its count
 	Cold  bool
+	Since time.Time // when it was first seen in this life
 }
 
 // Forming is a group that was decided on and is not open yet.
@@ -54,7 +54,7 @@
 	Since   time.Time
 }
 
-// Staging is a model on its way to a worker's host.
+// Staging is a model on its way to a spare worker.
 type Staging struct {
 	Model string
 	Since time.Time
@@ -72,6 +72,8 @@
 	Headless map[string]bool
 	// Closed data centres form no groups; those that are there stay.
 	Closed bool
+	// Serving is set once clients send requests; loads take their full time then.
+	Serving bool
 	// MayLoad is how many loads may begin now.
 	MayLoad int
 	// AtOnce is how many loads may run side by side in this data centre.
@@ -100,6 +102,22 @@
 // Name returns a group's name for a model; suffix makes it the only one.
 func Name(model, suffix string) string { return model + "." + suffix }
 
+// spareMark begins the suffix of a spare's own group.
+const spareMark = "spare-"
+
+// IsSpare reports whether a group is that of one spare worker, which holds the
+// model ready and never opens.
+func IsSpare(group string) bool {
+	i := strings.LastIndexByte(group, '.')
+	return i >= 0 && strings.HasPrefix(group[i+1:], spareMark)
+}
+
+// spareName makes a spare's group of a name that no group has had.
+func spareName(name string) string {
+	i := strings.LastIndexByte(name, '.') + 1
+	return name[:i] + spareMark + name[i:]
+}
+
 // ModelOf returns the model that a group's name was made for.
 func ModelOf(group string) string {
 	if i := strings.LastIndexByte(group, '.'); i >= 0 {
@@ -111,6 +129,12 @@
 const (
 	// joinPatience is how long a group is given until all members have begun to join.
 	joinPatience = 4 * time.Second
+	// quietTime is how long no worker has come to a domain before a group there
+	// is worth a load: workers that return together bring their weights with them.
+	quietTime = 1500 * time.Millisecond
+	// swapAfter is how long a group has waited for a load before a worker with
+	// the weights takes the place of the one that loads.
+	swapAfter = 500 * time.Millisecond
 	// stagePatience is how many times its load time a staging may take.
 	stagePatience = 4
 )
@@ -151,7 +175,7 @@
 	if !in.Closed {
 		for d.form() {
 		}
-		d.stage()
+		d.prepare()
 	}
 	return d.d
 }
@@ -170,6 +194,12 @@
 		w := &d.Workers[i]
 		d.byID[w.ID] = w
 		d.epoch = max(d.epoch, w.Membership.Epoch)
+		if IsSpare(w.Membership.Group) {
+			if !w.Lost && !w.Draining && w.Known {
+				d.free[w.ID] = w
+			}
+			continue
+		}
 		if w.Membership.State != roster.Alone {
 			d.groups[w.Membership.Group] = append(d.groups[w.Membership.Group], w)
 		} else if !w.Lost && !w.Draining && w.Known {
@@ -226,6 +256,10 @@
 		d.giveUp(f, fmt.Sprintf("member %s does not join", waiting[0].ID))
 		return
 	}
+	if d.swappable(f) {
+		d.giveUp(f, "workers with the weights are free")
+		return
+	}
 	for _, w := range waiting {
 		d.order(d.join(f, w))
 	}
@@ -236,6 +270,30 @@
 	d.counts[f.Model]++
 }
 
+// swappable reports whether free workers of the domain could take the places of
+// all members that are still loading.
+func (d *decider) swappable(f Forming) bool {
+	if d.Now.Sub(f.Since) < swapAfter {
+		return false
+	}
+	loading := 0
+	domain := d.byID[f.Members[0]].Domain
+	for _, id := range f.Loading {
+		if d.byID[id].Membership.State != roster.Ready {
+			loading++
+		}
+	}
+	if loading == 0 {
+		return false
+	}
+	for _, w := range d.free {
+		if w.Domain == domain && w.HasStaged(f.Model) {
+			loading--
+		}
+	}
+	return loading <= 0
+}
+
 func (d *decider) join(f Forming, w *Worker) Order {
 	return Order{
 		Worker: w.ID, Operation: Join, Group: f.Group, Epoch: f.Epoch, Model: f.Model, Members: f.Members,
@@ -360,7 +418,7 @@
 	for id, s := range d.Staging {
 		w := d.byID[id]
 		model, ok := d.Engine.Model(s.Model)
-		if w == nil || !ok || w.HasStaged(s.Model) || d.Now.Sub(s.Since) > stagePatience*model.Load {
+		if w == nil || !ok || w.HasStaged(s.Model) || d.taken[id] || d.Now.Sub(s.Since) > stagePatience*model.Load {
 			continue
 		}
 		d.d.Staging[id] = s
--- a/pkg/formation/operation_string.go
+++ b/pkg/formation/operation_string.go
@@ -12,12 +12,11 @@
 	_ = x[Open-1]
 	_ = x[Close-2]
 	_ = x[Leave-3]
-	_ = x[Stage-4]
 }
 
-const _Operation_name = "JoinOpenCloseLeaveStage"
+const _Operation_name = "JoinOpenCloseLeave"
 
-var _Operation_index = [...]uint8{0, 4, 8, 13, 18, 23}
+var _Operation_index = [...]uint8{0, 4, 8, 13, 18}
 
 func (i Operation) String() string {
 	idx := int(i) - 0
