--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -158,3 +158,10 @@
 	defer p.mu.Unlock()
 	return p.board.RetryAfter(service, model)
 }
+
+// Use returns the part of the places of a service and model that is taken, 0 to 1.
+func (p *Places) Use(service, model string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.Use(service, model)
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -84,6 +84,8 @@
 	DataCentres func() int
 	// Stalled reports whether instances see a head's streams stand still.
 	Stalled func(id string) bool
+	// Use returns the part of a model's places that is taken, 0 to 1.
+	Use func(model string) float64
 	// Moving reports whether an instance has heard from a head a moment ago.
 	Moving func(id string) bool
 	// Serving reports whether clients have sent requests.
@@ -223,6 +225,7 @@
 			w.entry, w.entryAt = s, now
 			k.takeEntry(w, s)
 		}
+		w.server.Draining = s.Draining
 	}
 	for id, w := range k.workers {
 		if !w.listed {
@@ -413,7 +416,7 @@
 	defer k.mu.Unlock()
 	in := formation.Input{
 		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging,
-		Closed: k.Closed(), Serving: k.Serving(), NewName: newName,
+		Closed: k.Closed(), Serving: k.Serving(), Use: k.Use, NewName: newName,
 		MayLoad:  k.loads.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
 		Headless: k.headlessGroups(now),
 		AtOnce:   max((engine.LoadsAtOnce+k.DataCentres()-1)/max(k.DataCentres(), 1), 1),
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -361,3 +361,17 @@
 	wait := time.Duration(ahead * float64(mean))
 	return min(max(wait+mean/2, minRetryAfter), maxRetryAfter)
 }
+
+// Use returns the part of the places of a service and model that is taken, 0 to 1.
+// Without places it is 1.
+func (b *Board) Use(service, model string) float64 {
+	running, slots := 0, 0
+	for _, p := range b.kinds[kind{service, model}] {
+		running += p.running()
+		slots += p.Slots
+	}
+	if slots == 0 {
+		return 1
+	}
+	return float64(running) / float64(slots)
+}
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -9,6 +9,15 @@
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
+const (
+	// loadWorth is the part of a model's places that must be taken for another
+	// group to be worth a load.
+	loadWorth = 0.6
+	// switchFactor is how many times as much another model must need a domain's
+	// only spare before that one loads it.
+	switchFactor = 1.5
+)
+
 // demand is a model's share of the engine time.
 func demand(m catalog.Model) float64 { return m.Share * max(m.Pace, 0.01) }
 
@@ -107,6 +116,9 @@
 		if running := d.loading(); running > 0 && running+n > d.AtOnce {
 			return candidate{}, false
 		}
+		if d.Serving && d.counts[model.Name] > 0 && d.Use != nil && d.Use(model.Name) < loadWorth {
+			return candidate{}, false
+		}
 		if d.robs(c, better, workers) || d.Serving && d.unsettled(workers[0].Domain) {
 			return candidate{}, false
 		}
@@ -205,40 +217,48 @@
 	})
 }
 
-// needed returns the model that a spare worker's domain lacks most: the one with
-// the most members in its groups for each spare that has its weights.
+// needed returns the model that a spare worker had better hold: the one with the
+// most members in its domain's groups for each spare that holds it.
 func (d *decider) needed(w *Worker) (catalog.Model, bool) {
 	var best catalog.Model
-	var bestNeed float64
+	var bestNeed, ownNeed float64
 	for _, model := range d.Engine.Models {
-		members, spares := 0, 0
-		for i := range d.Workers {
-			other := &d.Workers[i]
-			if other.Domain != w.Domain || other.Lost {
-				continue
-			}
-			if d.free[other.ID] != nil {
-				if d.warm(other, model) {
-					spares++
-				}
-			} else if ModelOf(other.Membership.Group) == model.Name {
-				members++
-			}
-		}
-		for _, f := range d.d.Forming {
-			if f.Model == model.Name && slices.Contains(f.Members, w.ID) {
-				members++
-			}
-		}
+		members, spares := d.domainCount(w.Domain, model)
 		if d.warm(w, model) {
-			if spares <= 1 {
-				return catalog.Model{}, false // the domain's only spare for that model
-			}
+			ownNeed = max(ownNeed, float64(members)/float64(spares))
 			continue
 		}
 		if need := float64(members) / float64(spares+1); spares == 0 && need > bestNeed {
 			best, bestNeed = model, need
 		}
 	}
-	return best, bestNeed > 0
+	return best, bestNeed > 0 && bestNeed > switchFactor*ownNeed
+}
+
+// domainCount counts the members of a model's groups in a domain, and the spares
+// that hold it.
+func (d *decider) domainCount(domain string, model catalog.Model) (members, spares int) {
+	for i := range d.Workers {
+		w := &d.Workers[i]
+		switch {
+		case w.Domain != domain || w.Lost:
+		case d.free[w.ID] != nil:
+			if d.warm(w, model) {
+				spares++
+			}
+		case ModelOf(w.Membership.Group) == model.Name || d.forms(w.ID, model.Name):
+			members++
+		}
+	}
+	return members, spares
+}
+
+// forms reports whether a worker is to be a member of a model's group.
+func (d *decider) forms(id, model string) bool {
+	for _, f := range d.d.Forming {
+		if f.Model == model && slices.Contains(f.Members, id) {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -74,6 +74,8 @@
 	Closed bool
 	// Serving is set once clients send requests; loads take their full time then.
 	Serving bool
+	// Use returns the part of a model's places that is taken, 0 to 1; nil counts as 1.
+	Use func(model string) float64
 	// MayLoad is how many loads may begin now.
 	MayLoad int
 	// AtOnce is how many loads may run side by side in this data centre.
@@ -141,26 +143,28 @@
 
 type decider struct {
 	Input
-	byID   map[string]*Worker
-	groups map[string][]*Worker // members of each group, by rank
-	free   map[string]*Worker
-	taken  map[string]bool // workers of groups that are forming
-	counts map[string]int  // groups that are open or forming, by model
-	epoch  int64
-	d      Decision
+	byID     map[string]*Worker
+	groups   map[string][]*Worker // members of each group, by rank
+	free     map[string]*Worker
+	reserved map[string]*Worker // free, but kept for a group
+	taken    map[string]bool    // workers of groups that are forming
+	counts   map[string]int     // groups that are open or forming, by model
+	epoch    int64
+	d        Decision
 }
 
 // Decide returns the orders that bring the data centre's groups nearer to what
 // its engine is asked for.
 func Decide(in Input) Decision {
 	d := &decider{
-		Input:  in,
-		byID:   map[string]*Worker{},
-		groups: map[string][]*Worker{},
-		free:   map[string]*Worker{},
-		taken:  map[string]bool{},
-		counts: map[string]int{},
-		d:      Decision{Forming: map[string]Forming{}, Staging: map[string]Staging{}},
+		Input:    in,
+		byID:     map[string]*Worker{},
+		groups:   map[string][]*Worker{},
+		free:     map[string]*Worker{},
+		reserved: map[string]*Worker{},
+		taken:    map[string]bool{},
+		counts:   map[string]int{},
+		d:        Decision{Forming: map[string]Forming{}, Staging: map[string]Staging{}},
 	}
 	d.observe()
 	for _, group := range sortedKeys(d.Forming) {
@@ -175,6 +179,9 @@
 	if !in.Closed {
 		for d.form() {
 		}
+		for id, w := range d.reserved {
+			d.free[id] = w
+		}
 		d.prepare()
 	}
 	return d.d
@@ -324,13 +331,12 @@
 	if members[0].Membership.Rank == 0 {
 		head = members[0]
 	}
-	if head == nil {
-		if d.Headless[group] {
-			d.release(members)
-		}
+	switch {
+	case head == nil && d.Headless[group]:
+		d.release(members)
 		return
-	}
-	if head.Lost {
+	case head == nil || head.Lost:
+		d.reserve(model, members)
 		return
 	}
 	epoch := head.Membership.Epoch
@@ -413,6 +419,32 @@
 	}
 }
 
+// reserve keeps free workers of the domain for a group whose members become
+// free soon: its head is silent, and may still be open.
+func (d *decider) reserve(model catalog.Model, members []*Worker) {
+	alive := 0
+	for _, w := range members {
+		if !w.Lost && !w.Draining {
+			alive++
+		}
+	}
+	missing := model.Size - alive
+	if missing > model.Size/2 {
+		return
+	}
+	d.counts[model.Name]++
+	for _, warm := range []bool{true, false} {
+		for _, id := range sortedKeys(d.free) {
+			w := d.free[id]
+			if missing > 0 && w.Domain == members[0].Domain && w.HasStaged(model.Name) == warm {
+				d.reserved[id] = w
+				delete(d.free, id)
+				missing--
+			}
+		}
+	}
+}
+
 // settleStaging forgets what has arrived, or will not.
 func (d *decider) settleStaging() {
 	for id, s := range d.Staging {
