formation, catalog: a model's share is a part of the workers

Cause: the share was taken for engine time, so that a model of small groups got too few of them where the shares are even.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -47,7 +47,7 @@
 type Model struct {
 	Name  string
 	Size  int     // instances that together hold one replica
-	Share float64 // part of the service's work, 0 to 1
+	Share float64 // part of the service's workers that it needs, 0 to 1
 	Pace  float64 // factor on all times of the engine
 	Load  time.Duration
 	Warm  time.Duration // time to join when the weights are on the host
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -18,8 +18,9 @@
 	switchFactor = 1.5
 )
 
-// demand is a model's share of the engine time.
-func demand(m catalog.Model) float64 { return m.Share * max(m.Pace, 0.01) }
+// demand is the number of a model's groups, relative to that of other models:
+// its share says which part of the workers it needs.
+func demand(m catalog.Model) float64 { return m.Share / float64(max(m.Size, 1)) }
 
 // wanted returns the models in the order in which another group of each serves
 // most. A model without any group goes first.
