neighbour, platform: keepers follow the store for the other instances

Change: a keeper's digest carries the places of its data centre, the end of the operator's topic and an echo of the receiver's last digest, from which the receiver has a bound on the age of that knowledge on its own clock. An instance that doesn't hear its keeper reads the store itself, as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,31 +64,23 @@
 	sent := time.Now()
 	result := dispatch.Left
 	defer func() { g.Places.Done(t, result, time.Since(sent)) }()
-	server, ok := q.view.Servers.Server(d.Place)
-	if !ok {
-		server, ok = g.View().Servers.Server(d.Place)
-	}
-	if !ok {
-		q.tried = append(q.tried, d.Place)
-		return ending{next: again, reason: "place has gone"}
-	}
 	remaining := time.Until(q.deadline)
 	if remaining <= 0 {
 		return ending{next: stop, refusal: q.outOfTime(errTimeout)}
 	}
 	q.story.Add("placed", telemetry.Fields{
-		"place": d.Place, "data_centre": server.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(began).Milliseconds(),
+		"place": d.Place.ID, "data_centre": d.Place.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(began).Milliseconds(),
 		"running": d.Running, "free": d.Free, "waiting": d.Waiting, "prompt": q.call.Prompt, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
 	})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{request: q, server: exchange.Server{ID: server.ID, Address: server.Address}, ticket: t, cancel: cancel, state: s}
+	a := &attempt{request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, ticket: t, cancel: cancel, state: s}
 	end, r := a.run(ctx, remaining)
 	result = r
 	if end.next == again {
-		q.tried = append(q.tried, d.Place)
+		q.tried = append(q.tried, d.Place.ID)
 		q.story.Add("attempt failed", telemetry.Fields{
-			"place": d.Place, "reason": end.reason, "may_have_run": q.mayHave, "ms": time.Since(sent).Milliseconds(), "last_event": s.lastEvent,
+			"place": d.Place.ID, "reason": end.reason, "may_have_run": q.mayHave, "ms": time.Since(sent).Milliseconds(), "last_event": s.lastEvent,
 		})
 	}
 	return end
--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -11,9 +11,14 @@
 type Layout struct {
 	Catalog *catalog.Catalog
 	Servers *roster.Roster
-	// Heads holds the open heads of data centres whose keeper is heard; it knows
-	// of a change before the platform's list does.
-	Heads map[string]map[string]bool
+	// Told holds the places of the data centres whose keepers are heard. A keeper
+	// knows of a change before the platform's list does.
+	Told map[string][]dispatch.Place
+	// Heads are the open heads of this instance's data centre where it is the
+	// keeper itself; nil elsewhere.
+	Heads map[string]bool
+	// HeadsOf is the data centre that Heads belongs to.
+	HeadsOf string
 	// Closed reports whether a data centre is taken out.
 	Closed func(dataCentre string) bool
 }
@@ -24,13 +29,24 @@
 		return nil
 	}
 	var places []dispatch.Place
+	for dataCentre, told := range l.Told {
+		if l.Closed(dataCentre) {
+			continue
+		}
+		for _, p := range told {
+			if service, ok := l.Catalog.Service(p.Service); ok {
+				p.ColdRate = service.ColdRate
+				places = append(places, p)
+			}
+		}
+	}
 	for _, s := range l.Servers.All() {
 		service, ok := l.Catalog.Service(s.Service)
-		if !ok || s.Draining || l.Closed(s.DataCentre) {
+		if _, told := l.Told[s.DataCentre]; told || !ok || s.Draining || l.Closed(s.DataCentre) {
 			continue
 		}
 		p := dispatch.Place{
-			ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Slots: max(s.Slots, 1),
+			ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Address: s.Address, Slots: max(s.Slots, 1),
 			ColdUntil: s.ColdUntil, ColdRate: service.ColdRate,
 		}
 		if service.Engine != nil {
@@ -46,8 +62,8 @@
 }
 
 func (l Layout) open(s roster.Server) bool {
-	if heads, ok := l.Heads[s.DataCentre]; ok {
-		return heads[s.ID]
+	if l.Heads != nil && l.HeadsOf == s.DataCentre {
+		return l.Heads[s.ID]
 	}
 	return s.IsHead() && s.Membership.State == roster.Open
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,6 +25,9 @@
 	probeTimeout = 200 * time.Millisecond
 	// orderTimeout bounds an order; one without an answer may still be carried out.
 	orderTimeout = 600 * time.Millisecond
+	// listPatience is how long a new keeper waits for the platform's list before
+	// it goes by an older one and the workers' reports.
+	listPatience = 1500 * time.Millisecond
 	// memberInterval is how often the members of an open group are asked when
 	// nothing points to a loss. Entries in the platform's list lapse later.
 	memberInterval = 1500 * time.Millisecond
@@ -73,9 +76,9 @@
 
 	// Acting reports whether this instance is the data centre's keeper now.
 	Acting func() bool
-	// List returns the platform's list. A worker that is missing there is gone
-	// for certain, or can't reach the platform.
-	List func() *roster.Roster
+	// List returns the platform's list and when it was read. A worker that is
+	// missing there is gone for certain, or can't reach the platform.
+	List func() (*roster.Roster, time.Time)
 	// Engine returns the engine of the data centre's model workers and their service.
 	Engine func() (service string, engine *catalog.Engine)
 	// Closed reports whether the data centre is taken out.
@@ -99,6 +102,7 @@
 	workers map[string]*worker
 	heads   []roster.Server
 	list    *roster.Roster // the last that was taken in
+	turn    time.Time      // when this instance became the keeper
 
 	told          map[formation.Note]time.Time
 	headless      map[string]bool      // groups whose head was seen to leave
@@ -153,6 +157,7 @@
 			if !acting {
 				k.reset()
 			}
+			k.turn = time.Now()
 		}
 		if acting {
 			k.step(ctx)
@@ -182,8 +187,14 @@
 		return
 	}
 	now := time.Now()
+	if _, read := k.List(); read.Before(k.turn) && now.Sub(k.turn) < listPatience {
+		return
+	}
 	k.merge(now, service, true)
 	k.ask(ctx, k.toAsk(now))
+	if !k.informed() {
+		return
+	}
 	in := k.input(time.Now(), engine)
 	d := formation.Decide(in)
 	k.forming, k.staging = d.Forming, d.Staging
@@ -192,10 +203,23 @@
 	k.publish()
 }
 
+// informed reports whether each worker has reported since this instance became
+// the keeper, or is lost. What was known of them before may be old.
+func (k *Keeper) informed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range k.workers {
+		if !w.lost() && w.reportAt.Before(k.turn) {
+			return false
+		}
+	}
+	return true
+}
+
 // merge takes the platform's list in. Only a keeper that asks the workers can
 // tell which of those that are not listed are gone.
 func (k *Keeper) merge(now time.Time, service string, acting bool) {
-	list := k.List()
+	list, _ := k.List()
 	if !acting && list == k.list {
 		return
 	}
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -23,12 +23,20 @@
 	Stalled []string `cbor:"9,keyasint,omitempty"`
 	Moving  []string `cbor:"10,keyasint,omitempty"`
 	// Keeper is set by the instance that looks after its data centre's groups.
-	Keeper bool   `cbor:"11,keyasint,omitempty"`
-	Heads  []Head `cbor:"12,keyasint,omitempty"` // open heads, from a keeper only
+	// It follows the platform's store for the others, which is what Places,
+	// OperatorEnd, OperatorAge and Echoes are for.
+	Keeper bool    `cbor:"11,keyasint,omitempty"`
+	Places []Place `cbor:"12,keyasint,omitempty"` // of its data centre
 	// Silent are heads that don't answer a keeper, Reached those of them that
 	// answer the sender.
 	Silent  []Silent `cbor:"13,keyasint,omitempty"`
 	Reached []string `cbor:"14,keyasint,omitempty"`
+	// OperatorEnd is the offset up to which the sender knows the operator's
+	// records, and OperatorAge the milliseconds since the read began that showed
+	// that these were all.
+	OperatorEnd int64  `cbor:"15,keyasint,omitempty"`
+	OperatorAge int64  `cbor:"16,keyasint,omitempty"`
+	Echoes      []Echo `cbor:"17,keyasint,omitempty"`
 }
 
 // Load is what an instance has running at a place.
@@ -46,12 +54,25 @@
 	Address string
 }
 
-// Head is the head of an open group.
-type Head struct {
-	_      struct{} `cbor:",toarray"`
-	Server string
-	Model  string
-	Epoch  int64
+// Place is a place that takes requests.
+type Place struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Service string
+	Model   string // empty for a plain service
+	Address string
+	Slots   int
+	Cold    int64 // milliseconds until the end of its cold start
+}
+
+// Echo names the last digest that the sender has from another instance. That
+// instance knows when it sent that one, and so how old at most the sender's
+// knowledge is, on its own clock.
+type Echo struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	Started  int64
+	Seq      uint64
 }
 
 func encode(d Digest) ([]byte, error) {
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -13,11 +13,18 @@
 	"github.com/cockroachdb/errors"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/chicorystall/chicorystall/internal/boottime"
 )
 
 const (
 	// Interval is how often an instance tells its load.
 	Interval = 100 * time.Millisecond
+	// awayFactor is how many times less often instances of other data centres are
+	// told: what crosses data centres costs more, and matters less there.
+	awayFactor = 3
+	// sentKept is how many sendings are remembered, several seconds' worth.
+	sentKept = 64
 	// heardFor is how long an instance counts as there after its last digest.
 	heardFor = time.Second
 	// quietInterval is how often an instance that isn't heard gets a digest.
@@ -45,6 +52,7 @@
 	mu    sync.Mutex
 	peers map[netip.Addr]*peer
 	seq   uint64
+	sent  [sentKept]time.Duration // when digests were sent, on the clock of package boottime, by seq
 }
 
 type peer struct {
@@ -155,6 +163,7 @@
 	n.mu.Lock()
 	n.seq++
 	d.Seq = n.seq
+	n.sent[d.Seq%sentKept] = boottime.Now()
 	var to []netip.Addr
 	var lost []Digest
 	for _, p := range n.peers {
@@ -165,6 +174,12 @@
 		if !p.heard && now.Sub(p.sentAt) < quietInterval && now.Sub(p.addedAt) > quietInterval {
 			continue
 		}
+		if p.heard && p.last.DataCentre != n.DataCentre && d.Seq%awayFactor != 0 {
+			continue
+		}
+		if d.Keeper && p.heard && p.last.DataCentre == n.DataCentre {
+			d.Echoes = append(d.Echoes, Echo{Instance: p.last.Instance, Started: p.last.Started, Seq: p.last.Seq})
+		}
 		p.sentAt = now
 		to = append(to, p.address)
 	}
@@ -184,6 +199,23 @@
 	}
 }
 
+// Echoed returns when this instance sent the last digest that the sender of d
+// had from it, on the clock of package boottime.
+func (n *Net) Echoed(d Digest) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range d.Echoes {
+		if e.Instance != n.Instance || e.Started != n.Started.UnixMilli() {
+			continue
+		}
+		if e.Seq > n.seq || n.seq-e.Seq >= sentKept {
+			return 0, false
+		}
+		return n.sent[e.Seq%sentKept], true
+	}
+	return 0, false
+}
+
 // Heard returns the last digests of the instances that are heard.
 func (n *Net) Heard() []Digest {
 	n.mu.Lock()
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -18,7 +18,7 @@
 // Decision is the verdict on a ticket with what led to it.
 type Decision struct {
 	Verdict    Verdict
-	Place      string        // where it runs
+	Place      Place         // where it runs
 	Running    int           // what runs there besides
 	RetryAfter time.Duration // when a refused client may come back
 	Reason     string        // why it was refused
@@ -162,7 +162,7 @@
 		return d
 	}
 	if p := b.choose(now, t); p != nil && !b.outranked(now, k, t) {
-		d.Verdict, d.Place, d.Running = Run, p.ID, p.running()
+		d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
 		b.take(now, t, p)
 		return d
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -10,6 +10,7 @@
 	Service    string
 	Model      string
 	DataCentre string
+	Address    string    // IP and port
 	Slots      int       // requests that run side by side
 	ColdUntil  time.Time // end of its cold start
 	ColdRate   float64   // requests a second that it bears until then, from all instances; 0 means any
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -24,12 +24,12 @@
 	waiting bool
 }
 
-// Place returns the ID of the place that the ticket holds, or an empty string.
-func (t *Ticket) Place() string {
+// Place returns the place that the ticket holds, or an empty one.
+func (t *Ticket) Place() Place {
 	if t.place == nil {
-		return ""
+		return Place{}
 	}
-	return t.place.ID
+	return t.place.Place
 }
 
 // before reports whether t gets a free place before other.
