--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -18,6 +18,7 @@
 	Ratio        float64 // retries for each first attempt; 0 means DefaultRatio
 	MinPerSecond float64 // retries a second without traffic; 0 means DefaultMinPerSecond, below 0 none
 	Burst        float64 // retries that may be saved up; 0 means DefaultBurst
+	Start        float64 // retries that are saved up before the first request
 
 	mu     sync.Mutex
 	tokens float64
@@ -72,6 +73,7 @@
 func (b *Budget) refill(now time.Time) {
 	if b.last.IsZero() {
 		b.last = now
+		b.add(b.Start)
 	}
 	elapsed := now.Sub(b.last)
 	if elapsed <= 0 {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -22,6 +22,7 @@
 		{"a tenth by default", &Budget{MinPerSecond: -1, Burst: 100}, 500, 0, 50},
 		{"burst bounds what is saved", &Budget{MinPerSecond: -1}, 500, 0, 10},
 		{"minimum without traffic", &Budget{MinPerSecond: 2}, 0, 3 * time.Second, 6},
+		{"what is at hand at the start", &Budget{MinPerSecond: -1, Start: 4}, 0, 0, 4},
 		{"nothing without traffic", &Budget{MinPerSecond: -1}, 0, time.Hour, 0},
 	}
 	for _, test := range tests {
