formation: a join is repeated only after a refusal; the fullest domain first

Cause: a randomized model of two keepers found that a keeper went on sending a join to a worker that meanwhile was in another keeper's open group of the same epoch, and that a head which had left could be joined to its old group again, after which its members counted as free. Small groups also took the room of large ones, and a lesser model the workers of one that waited for loads.

Change: members that were in another group than when chosen end the forming, an accepted join is not repeated, domains are filled.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -526,6 +526,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	w.ordered, w.answered = o, time.Now()
+	if f, ok := k.forming[o.Group]; ok && o.Operation == formation.Join && outcome != Rejected {
+		f.Joined[o.Worker] = true
+	}
 	switch outcome {
 	case Begun:
 		w.server.Orders = max(w.server.Orders, count+1)
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -38,6 +38,15 @@
 	return models
 }
 
+// verdict tells whether a group can be formed.
+type verdict int
+
+const (
+	none  verdict = iota // there are no workers for it
+	held                 // it has to wait for loads that run, or for workers that return
+	found                // it can be formed now
+)
+
 // candidate is a list of free workers of one domain for one group.
 type candidate struct {
 	members []*Worker // the first is the head
@@ -45,20 +54,37 @@
 	spare   int // free workers that the domain keeps
 }
 
+// better prefers fewer loads, then a domain that keeps a spare, then the fullest
+// domain, so that the others stay free for large groups.
+func (c candidate) better(other candidate) bool {
+	switch {
+	case len(c.loading) != len(other.loading):
+		return len(c.loading) < len(other.loading)
+	case (c.spare > 0) != (other.spare > 0):
+		return c.spare > 0
+	}
+	return c.spare < other.spare
+}
+
 // form decides on one more group and reports whether it found one.
 func (d *decider) form() bool {
 	models := d.wanted()
 	for i, model := range models {
-		best, ok := d.candidate(model, models[:i])
-		if !ok {
+		best, found := d.candidate(model, models[:i])
+		if found == held {
+			return false // a lesser model would take its workers meanwhile
+		}
+		if found == none {
 			continue
 		}
 		d.epoch++
 		f := Forming{
 			Group: d.NewName(model.Name), Epoch: d.epoch, Model: model.Name, Loading: best.loading, Since: d.Now,
+			From: map[string]string{}, Joined: map[string]bool{}, Seen: map[string]bool{},
 		}
 		for _, w := range best.members {
 			f.Members = append(f.Members, w.ID)
+			f.From[w.ID] = w.Membership.Group
 			delete(d.free, w.ID)
 			delete(d.d.Staging, w.ID)
 		}
@@ -77,29 +103,30 @@
 
 // candidate returns the workers for a group of a model that need the fewest
 // loads. What groups of the models in better wait for is left to them.
-func (d *decider) candidate(model catalog.Model, better []catalog.Model) (candidate, bool) {
+func (d *decider) candidate(model catalog.Model, better []catalog.Model) (candidate, verdict) {
 	domains := map[string][]*Worker{}
 	for _, id := range sortedKeys(d.free) {
 		w := d.free[id]
 		domains[w.Domain] = append(domains[w.Domain], w)
 	}
 	var best candidate
-	found := false
+	outcome := none
 	for _, domain := range sortedKeys(domains) {
-		c, ok := d.pick(model, better, domains[domain])
-		if !ok {
+		c, v := d.pick(model, better, domains[domain])
+		if v != found {
+			outcome = max(outcome, v)
 			continue
 		}
-		if !found || len(c.loading) < len(best.loading) || len(c.loading) == len(best.loading) && c.spare > best.spare {
-			best, found = c, true
+		if outcome != found || c.better(best) {
+			best, outcome = c, found
 		}
 	}
-	return best, found
+	return best, outcome
 }
 
-func (d *decider) pick(model catalog.Model, better []catalog.Model, workers []*Worker) (candidate, bool) {
+func (d *decider) pick(model catalog.Model, better []catalog.Model, workers []*Worker) (candidate, verdict) {
 	if len(workers) < model.Size {
-		return candidate{}, false
+		return candidate{}, none
 	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
 		return cmp.Compare(d.joinRank(a, model, better), d.joinRank(b, model, better))
@@ -110,23 +137,31 @@
 			c.loading = append(c.loading, w.ID)
 		}
 	}
-	if n := len(c.loading); n > 0 {
-		if n > d.MayLoad {
-			return candidate{}, false
-		}
-		if running := d.loading(); running > 0 && running+n > d.AtOnce {
-			return candidate{}, false
-		}
-		if d.Serving && d.counts[model.Name] > 0 && d.Use != nil && d.Use(model.Name) < loadWorth {
-			return candidate{}, false
-		}
-		if d.robs(c, better, workers) || d.Serving && d.unsettled(workers[0].Domain) {
-			return candidate{}, false
-		}
+	if v := d.mayLoad(c, model, better, workers); v != found {
+		return candidate{}, v
 	}
 	// A cold head would hold its group's rate down.
 	slices.SortStableFunc(c.members, func(a, b *Worker) int { return cmp.Compare(coldRank(a), coldRank(b)) })
-	return c, true
+	return c, found
+}
+
+// mayLoad decides whether the loads that a candidate needs may begin.
+func (d *decider) mayLoad(c candidate, model catalog.Model, better []catalog.Model, workers []*Worker) verdict {
+	n := len(c.loading)
+	if n == 0 {
+		return found
+	}
+	if d.Serving && d.counts[model.Name] > 0 && d.Use != nil && d.Use(model.Name) < loadWorth {
+		return none
+	}
+	if d.robs(c, better, workers) {
+		return none
+	}
+	running := d.loading()
+	if n > d.MayLoad || running > 0 && running+n > d.AtOnce || d.Serving && d.unsettled(workers[0].Domain) {
+		return held
+	}
+	return found
 }
 
 // unsettled reports whether workers have come to a domain just now.
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -51,7 +51,12 @@
 	Model   string
 	Members []string // the first is the head
 	Loading []string // members that read weights from the shared store
-	Since   time.Time
+	// From are the groups that the members were in when they were chosen.
+	From map[string]string
+	// Joined are the members whose order to join was accepted, or had no answer
+	// and may be carried out yet. Seen are those that reported the group since.
+	Joined, Seen map[string]bool
+	Since        time.Time
 }
 
 // Staging is a model on its way to a spare worker.
@@ -244,14 +249,20 @@
 			d.giveUp(f, fmt.Sprintf("member %s is lost or leaves", id))
 			return
 		case !in(w, f.Group, f.Epoch):
-			if w.Membership.Epoch > f.Epoch {
+			if g := w.Membership.Group; g != f.From[id] && !IsSpare(g) && g != "" {
 				d.giveUp(f, fmt.Sprintf("member %s joined %s", id, w.Membership.Group))
 				return
 			}
+			if f.Seen[id] {
+				d.giveUp(f, fmt.Sprintf("member %s left", id))
+				return
+			}
 			waiting = append(waiting, w)
+			continue
 		case w.Membership.State == roster.Ready:
 			ready++
 		}
+		f.Seen[id] = true
 	}
 	head := d.byID[f.Members[0]]
 	state := head.Membership.State
@@ -268,7 +279,9 @@
 		return
 	}
 	for _, w := range waiting {
-		d.order(d.join(f, w))
+		if !f.Joined[w.ID] {
+			d.order(d.join(f, w))
+		}
 	}
 	if ready == len(f.Members) {
 		d.order(Order{Worker: head.ID, Operation: Open, Group: f.Group, Epoch: f.Epoch, Reason: "all members are ready"})
