--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -67,7 +67,7 @@
 
 // readShare is the part of the allowed reading that is used; what the neighbours
 // send within a digest's interval comes on top.
-const readShare = 0.75
+const readShare = 0.6
 
 // readLimit returns how many prompt tokens may wait at a group of a model. An
 // engine reads some with each step of a pass, and no stream gets an event before
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -21,8 +21,10 @@
 	// Interval is how often an instance tells its load.
 	Interval = 100 * time.Millisecond
 	// awayFactor is how many times less often instances of other data centres are
-	// told: what crosses data centres costs more, and matters less there.
+	// told once there are more than fewPeers: what crosses data centres costs
+	// more, and matters less there.
 	awayFactor = 3
+	fewPeers   = 16
 	// sentKept is how many sendings are remembered, several seconds' worth.
 	sentKept = 64
 	// heardFor is how long an instance counts as there after its last digest.
@@ -174,7 +176,7 @@
 		if !p.heard && now.Sub(p.sentAt) < quietInterval && now.Sub(p.addedAt) > quietInterval {
 			continue
 		}
-		if p.heard && p.last.DataCentre != n.DataCentre && d.Seq%awayFactor != 0 {
+		if p.heard && p.last.DataCentre != n.DataCentre && len(n.peers) > fewPeers && d.Seq%awayFactor != 0 {
 			continue
 		}
 		if d.Keeper && p.heard && p.last.DataCentre == n.DataCentre {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -33,6 +33,7 @@
 	doubtUntil time.Time // gets no new work before
 	cold       float64   // requests that may be sent now while it is cold
 	coldAt     time.Time
+	held       bool // kept for a ticket while places are given out
 	gone       bool // no longer among the places; kept while requests run there
 }
 
