--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
 	"github.com/chicorystall/chicorystall/pkg/formation"
@@ -38,7 +36,6 @@
 		for _, p := range told {
 			if service, ok := l.Catalog.Service(p.Service); ok {
 				p.ColdRate = service.ColdRate
-				p.ReadLimit = readLimit(l.Catalog, service, p.Model)
 				places = append(places, p)
 			}
 		}
@@ -58,35 +55,12 @@
 			}
 			p.Model = formation.ModelOf(s.Membership.Group)
 			p.Slots = max(service.Engine.Slots, 1)
-			p.ReadLimit = readLimit(l.Catalog, service, p.Model)
 		}
 		places = append(places, p)
 	}
 	return places
 }
 
-// readShare is the part of the allowed reading that is used; what the neighbours
-// send within a digest's interval comes on top.
-const readShare = 0.6
-
-// readLimit returns how many prompt tokens may wait at a group of a model. An
-// engine reads some with each step of a pass, and no stream gets an event before
-// the pass ends; with more, its streams pause for longer than their objective.
-func readLimit(c *catalog.Catalog, service *catalog.Service, model string) int {
-	e := service.Engine
-	if e == nil || e.PromptRate <= 0 {
-		return 0
-	}
-	pause := c.MaxPause(service.Name)
-	m, ok := e.Model(model)
-	if !ok || pause <= 0 {
-		return 0
-	}
-	steps := time.Duration(max(e.Stride, 1)) * (e.Step + time.Duration(e.Slots)*e.StepPerRequest)
-	reading := time.Duration(float64(pause)/max(m.Pace, 0.01)) - steps
-	return max(int(readShare*reading.Seconds()*e.PromptRate), 1)
-}
-
 func (l Layout) open(s roster.Server) bool {
 	if l.Heads != nil && l.HeadsOf == s.DataCentre {
 		return l.Heads[s.ID]
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -123,7 +123,6 @@
 	byHost   map[string][]*Route // longest prefix first
 	byName   map[string]*Service
 	byKey    map[string]*Account
-	pauses   map[string]time.Duration // shortest MaxPause of the streams to a service
 	keyBound bool
 }
 
@@ -134,17 +133,11 @@
 		byHost:  map[string][]*Route{},
 		byName:  map[string]*Service{},
 		byKey:   map[string]*Account{},
-		pauses:  map[string]time.Duration{},
 	}
 	for i := range content.Routes {
 		r := &content.Routes[i]
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
-		for _, t := range r.Targets {
-			if p, ok := c.pauses[t.Service]; r.MaxPause > 0 && (!ok || r.MaxPause < p) {
-				c.pauses[t.Service] = r.MaxPause
-			}
-		}
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -191,10 +184,6 @@
 	return s, ok
 }
 
-// MaxPause returns the shortest objective for pauses among the streams that a
-// service may get, or 0 when there is none.
-func (c *Catalog) MaxPause(service string) time.Duration { return c.pauses[service] }
-
 // Account returns the client account that holds a key.
 func (c *Catalog) Account(key string) (*Account, bool) {
 	a, ok := c.byKey[key]
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -52,9 +51,8 @@
 // Board holds places, loads and waiting tickets. It is not safe for use by
 // several goroutines at once. The zero value has no places.
 type Board struct {
-	Instances  int             // processes that share the rate of a cold place; 0 counts as 1
-	Draw       func(n int) int // random number below n; nil means one of package rand
-	MaxWaiting int             // tickets of one kind that wait; 0 means DefaultMaxWaiting
+	Instances  int // processes that share the rate of a cold place; 0 counts as 1
+	MaxWaiting int // tickets of one kind that wait; 0 means DefaultMaxWaiting
 
 	places  map[string]*place
 	kinds   map[kind][]*place
@@ -206,43 +204,19 @@
 	return d
 }
 
-// choose returns the best of two free places for a ticket, or nil. The two are
-// drawn, because the instances know of each other's choices only a moment later
-// and would all take the same one.
+// choose returns the best free place for a ticket, or nil.
 func (b *Board) choose(now time.Time, t *Ticket) *place {
-	var first, second *place
-	free := 0
+	var best *place
+	var bestScore float64
 	for _, p := range b.kinds[kind{t.Service, t.Model}] {
-		if p.held || !p.free(t.Prompt) || now.Before(p.doubtUntil) || t.tried(p.ID) || !p.bears(now, b.Instances) {
+		if !p.free() || now.Before(p.doubtUntil) || t.tried(p.ID) || !p.bears(now, b.Instances) {
 			continue
 		}
-		free++
-		// Each of the free places is as likely to be among the two.
-		switch {
-		case first == nil:
-			first = p
-		case second == nil:
-			second = p
-		default:
-			if n := b.draw(free); n == 0 {
-				first = p
-			} else if n == 1 {
-				second = p
-			}
+		if score := p.score(t, now); best == nil || score < bestScore {
+			best, bestScore = p, score
 		}
 	}
-	if second != nil && second.score(t, now) < first.score(t, now) {
-		return second
-	}
-	return first
-}
-
-// draw returns a number from 0 up to but without n.
-func (b *Board) draw(n int) int {
-	if b.Draw != nil {
-		return b.Draw(n)
-	}
-	return rand.IntN(n)
+	return best
 }
 
 func (b *Board) take(now time.Time, t *Ticket, p *place) {
@@ -278,35 +252,14 @@
 				got = append(got, t)
 				continue
 			}
-			b.hold(now, t)
 			rest = append(rest, t)
 		}
-		for _, p := range b.kinds[k] {
-			p.held = false
-		}
 		clear(waiting[len(rest):])
 		b.waiting[k] = rest
 	}
 	return got
 }
 
-// hold keeps a place for a ticket that lacks room for its prompt only, so that
-// shorter ones don't take that room again and again.
-func (b *Board) hold(now time.Time, t *Ticket) {
-	var best *place
-	for _, p := range b.kinds[kind{t.Service, t.Model}] {
-		if p.held || p.running() >= p.Slots || now.Before(p.doubtUntil) || t.tried(p.ID) {
-			continue
-		}
-		if best == nil || p.reading() < best.reading() {
-			best = p
-		}
-	}
-	if best != nil {
-		best.held = true
-	}
-}
-
 // Expired takes out the waiting tickets whose time is up, or that no place
 // serves any more, and returns them.
 func (b *Board) Expired(now time.Time) []*Ticket {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -12,7 +12,6 @@
 	DataCentre string
 	Address    string    // IP and port
 	Slots      int       // requests that run side by side
-	ReadLimit  int       // prompt tokens that may wait to be read, so that streams don't pause for too long; 0 means any
 	ColdUntil  time.Time // end of its cold start
 	ColdRate   float64   // requests a second that it bears until then, from all instances; 0 means any
 }
@@ -33,7 +32,6 @@
 	doubtUntil time.Time // gets no new work before
 	cold       float64   // requests that may be sent now while it is cold
 	coldAt     time.Time
-	held       bool // kept for a ticket while places are given out
 	gone       bool // no longer among the places; kept while requests run there
 }
 
@@ -57,13 +55,7 @@
 
 func (p *place) reading() int { return p.own.Reading + p.remote.Reading }
 
-// free reports whether a request with a prompt of some tokens may be sent.
-func (p *place) free(prompt int) bool {
-	if p.running() >= p.Slots {
-		return false
-	}
-	return p.ReadLimit <= 0 || p.reading() == 0 || p.reading()+prompt <= p.ReadLimit
-}
+func (p *place) free() bool { return p.running() < p.Slots }
 
 // score tells how bad the place is for a ticket.
 func (p *place) score(t *Ticket, now time.Time) float64 {
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -50,16 +50,17 @@
 // candidate is a list of free workers of one domain for one group.
 type candidate struct {
 	members []*Worker // the first is the head
-	loading []string
-	spare   int // free workers that the domain keeps
+	slow    []string  // members without the model's weights
+	loads   int       // loads that those begin; the others have one under way
+	spare   int       // free workers that the domain keeps
 }
 
 // better prefers fewer loads, then a domain that keeps a spare, then the fullest
 // domain, so that the others stay free for large groups.
 func (c candidate) better(other candidate) bool {
 	switch {
-	case len(c.loading) != len(other.loading):
-		return len(c.loading) < len(other.loading)
+	case len(c.slow) != len(other.slow):
+		return len(c.slow) < len(other.slow)
 	case (c.spare > 0) != (other.spare > 0):
 		return c.spare > 0
 	}
@@ -79,7 +80,7 @@
 		}
 		d.epoch++
 		f := Forming{
-			Group: d.NewName(model.Name), Epoch: d.epoch, Model: model.Name, Loading: best.loading, Since: d.Now,
+			Group: d.NewName(model.Name), Epoch: d.epoch, Model: model.Name, Loading: best.slow, Since: d.Now,
 			From: map[string]string{}, Joined: map[string]bool{}, Seen: map[string]bool{},
 		}
 		for _, w := range best.members {
@@ -91,7 +92,7 @@
 		for _, w := range best.members {
 			d.order(d.join(f, w))
 		}
-		d.MayLoad -= len(best.loading)
+		d.MayLoad -= best.loads
 		d.d.Forming[f.Group] = f
 		d.counts[model.Name]++
 		d.note(Note{Group: f.Group, Model: f.Model, Event: "formed",
@@ -133,8 +134,12 @@
 	})
 	c := candidate{members: slices.Clone(workers[:model.Size]), spare: len(workers) - model.Size}
 	for _, w := range c.members {
+		if w.HasStaged(model.Name) {
+			continue
+		}
+		c.slow = append(c.slow, w.ID)
 		if !d.warm(w, model) {
-			c.loading = append(c.loading, w.ID)
+			c.loads++
 		}
 	}
 	if v := d.mayLoad(c, model, better, workers); v != found {
@@ -147,7 +152,7 @@
 
 // mayLoad decides whether the loads that a candidate needs may begin.
 func (d *decider) mayLoad(c candidate, model catalog.Model, better []catalog.Model, workers []*Worker) verdict {
-	n := len(c.loading)
+	n := c.loads
 	if n == 0 {
 		return found
 	}
@@ -186,12 +191,14 @@
 	switch {
 	case ModelOf(w.Membership.Group) == model.Name && w.Membership.State != roster.Joining:
 		return 0
-	case d.warm(w, model):
+	case w.HasStaged(model.Name):
 		return 1
+	case d.warm(w, model):
+		return 2
 	case slices.ContainsFunc(better, func(m catalog.Model) bool { return d.warm(w, m) }):
-		return 3
+		return 4
 	}
-	return 2
+	return 3
 }
 
 // warm reports whether a worker joins a group of the model without a load of its own.
