keeper, platform: the list goes until a new keeper has heard from all workers

Excluded: groups that had to form again; the logs show none then. Change: a keeper's word counts from its first decision on.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -98,11 +98,12 @@
 	// Order sends an order that holds only if the worker has begun as many orders as count says.
 	Order func(ctx context.Context, to roster.Server, o formation.Order, count int64) (Outcome, error)
 
-	mu      sync.Mutex
-	workers map[string]*worker
-	heads   []roster.Server
-	list    *roster.Roster // the last that was taken in
-	turn    time.Time      // when this instance became the keeper
+	mu        sync.Mutex
+	workers   map[string]*worker
+	heads     []roster.Server
+	published bool           // heads holds what this turn as the keeper has found
+	list      *roster.Roster // the last that was taken in
+	turn      time.Time      // when this instance became the keeper
 
 	told          map[formation.Note]time.Time
 	headless      map[string]bool      // groups whose head was seen to leave
@@ -175,7 +176,8 @@
 func (k *Keeper) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.heads, k.forming, k.staging = nil, nil, nil
+	k.heads, k.published = nil, false
+	k.forming, k.staging = nil, nil
 	for _, w := range k.workers {
 		w.known, w.failures = false, 0
 	}
@@ -555,14 +557,16 @@
 			heads = append(heads, w.server)
 		}
 	}
-	k.heads = heads
+	k.heads, k.published = heads, true
 }
 
-// Heads returns the open heads of the data centre as the keeper knows them.
-func (k *Keeper) Heads() []roster.Server {
+// Heads returns the open heads of the data centre as the keeper knows them. It
+// knows none before all workers have reported to it; until then, and at other
+// instances, the platform's list goes.
+func (k *Keeper) Heads() (heads []roster.Server, known bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.Clone(k.heads)
+	return slices.Clone(k.heads), k.published
 }
 
 // ErrAnotherWorker marks a question that another worker at the address answered.
