--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -27,6 +27,9 @@
 	// OperatorEnd, OperatorAge and Echoes are for.
 	Keeper bool    `cbor:"11,keyasint,omitempty"`
 	Places []Place `cbor:"12,keyasint,omitempty"` // of its data centre
+	// Blind instances have not reached the platform's store for a while. One
+	// that has looks after the groups in their place.
+	Blind bool `cbor:"18,keyasint,omitempty"`
 	// Silent are heads that don't answer a keeper, Reached those of them that
 	// answer the sender.
 	Silent  []Silent `cbor:"13,keyasint,omitempty"`
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -247,12 +247,14 @@
 	return count
 }
 
-// IsKeeper reports whether this instance is the one of its data centre's heard
+// IsKeeper reports whether this instance, blind or not, is the one of its data centre's heard
 // instances that looks after its groups. All that hear each other agree.
-func (n *Net) IsKeeper() bool {
+func (n *Net) IsKeeper(blind bool) bool {
 	own := rank(n.DataCentre, n.Instance)
 	for _, d := range n.Heard() {
-		if d.DataCentre == n.DataCentre && !d.Leaving && rank(n.DataCentre, d.Instance) < own {
+		switch {
+		case d.DataCentre != n.DataCentre || d.Leaving || d.Blind && !blind:
+		case blind && !d.Blind, rank(n.DataCentre, d.Instance) < own:
 			return false
 		}
 	}
--- a/internal/neighbour/neighbour_test.go
+++ b/internal/neighbour/neighbour_test.go
@@ -105,7 +105,7 @@
 	}
 	keepers := 0
 	for _, n := range nets {
-		if n.IsKeeper() {
+		if n.IsKeeper(false) {
 			keepers++
 		}
 	}
