keeper: a member that was silent stays in its group; reports older than an order are left out

A listed member that left two questions unanswered was noted as being in no group; when it answered again within 350 ms of a change of its entry, its report's group was left out as possibly older, and the keeper joined it to a spare's group while its head was open. Also, a report from before an order was combined with the count after it. Change: only the group of a silent head is forgotten, and its next report is taken as it is; a report with a lower count than the last order's answer is left out.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -124,9 +124,8 @@
 			return nil
 		case <-ticker.C:
 		}
-		now := k.Acting()
-		if now != acting {
-			acting = now
+		if turn := k.Acting(); turn != acting {
+			acting = turn
 			k.Log.Info("keeper", telemetry.Fields{"acting": acting, "data_centre": k.DataCentre})
 			if !acting {
 				k.reset()
--- a/internal/keeper/workers.go
+++ b/internal/keeper/workers.go
@@ -91,11 +91,13 @@
 			continue
 		}
 		k.leftGroup(w.server)
-		if w.listed {
-			w.server.Membership, w.known = roster.Membership{}, false
-			continue
+		switch {
+		case !w.listed:
+			delete(k.workers, id)
+		case w.server.IsHead():
+			// If it comes back, its next report says where it is.
+			w.server.Membership, w.known, w.entryAt = roster.Membership{}, false, time.Time{}
 		}
-		delete(k.workers, id)
 	}
 }
 
@@ -245,9 +247,11 @@
 		k.Log.Info("worker back", telemetry.Fields{"worker": known.ID})
 	}
 	w.failures, w.silent, w.ended = 0, time.Time{}, false
-	if w.settling(began) && report.SameLife(w.server) {
-		// Reports lag behind; what an order's answer said of the count is newer.
-		report.Orders = max(report.Orders, w.server.Orders)
+	if w.settling(began) && report.SameLife(w.server) && report.Orders < w.server.Orders {
+		// The report is older than the answer to the last order. Its state must
+		// not be taken together with the newer count.
+		w.known, w.reportAt = true, began
+		return
 	}
 	report.Draining = w.server.Draining
 	if w.listed && began.Sub(w.entryAt) < reportLag {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -62,9 +62,9 @@
 }
 
 // Gauge registers a value that is read when the metrics are.
-func (m *Metrics) Gauge(name, help string, labels map[string]string, value func() float64) {
+func (m *Metrics) Gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: "chicorystall", Name: name, Help: help, ConstLabels: labels,
+		Namespace: "chicorystall", Name: name, Help: help,
 	}, value))
 }
 
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -14,9 +14,8 @@
 //	case dispatch.Refuse: // tell the client to come back after d.RetryAfter
 //	}
 //
-// Load patterns it answers: more work than places (the requests that are worth
-// most for the engine time they need go first, and those that can't be on time
-// any more wait behind all that can), uneven shares of clients at the instances
+// Load patterns it answers: more work than places (the more urgent go first, and
+// those that can't be on time any more wait behind all that can), uneven shares of clients at the instances
 // of a data centre (places are counted over all instances), workers that fail
 // part of what they get (they lose their share as their failures show), and
 // workers in cold start (their rate is divided between all instances).
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -11,7 +11,6 @@
 	Model      string    // empty for a plain service
 	DataCentre string    // of this instance; places there are preferred
 	Priority   int       // 0 goes first
-	Worth      float64   // worth for the engine time that the request needs; more goes first
 	Prompt     int       // tokens to read before the first event
 	OnTimeBy   time.Time // latest time to start running for an answer within its latency objective
 	GiveUpBy   time.Time // latest time to start running at all
@@ -41,9 +40,6 @@
 	if t.Priority != other.Priority {
 		return t.Priority < other.Priority
 	}
-	if t.Worth != other.Worth {
-		return t.Worth > other.Worth
-	}
 	return t.Arrived.Before(other.Arrived)
 }
 
