--- a/internal/fake/metastore/store.go
+++ b/internal/fake/metastore/store.go
@@ -18,7 +18,7 @@
 	pageBytes      = 1 << 20
 )
 
-// Fault is a disturbance of the store.
+// Fault is what goes wrong at the store.
 type Fault int
 
 // The faults.
