--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,8 @@
 	// reportLag is how much older than its answer a report may be. Entries in the
 	// platform's list are written at once when a group's state changes.
 	reportLag = 350 * time.Millisecond
+	// listTrust is the age up to which the platform's list goes before reports.
+	listTrust = 1500 * time.Millisecond
 	// noteInterval is how often the same event of a group is logged.
 	noteInterval = 5 * time.Second
 	maxTold      = 256 // notes that are remembered for that
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -72,3 +72,24 @@
 	g.Expect(w.server.Orders).To(BeEquivalentTo(3))
 	g.Expect(w.server.Membership).To(Equal(member.Membership), "the state goes with its count")
 }
+
+// A report that lags behind the platform's list sets no member free.
+func TestTheListGoesBeforeReports(t *testing.T) {
+	g := NewWithT(t)
+	k := keeperOf(func(known roster.Server) (roster.Server, error) {
+		known.Membership = roster.Membership{}
+		return known, nil
+	})
+	k.merge(time.Now(), "pool", true)
+	w := k.workers["w"]
+	w.entryAt = time.Now().Add(-time.Hour)
+	k.askOne(context.Background(), w)
+	g.Expect(w.server.Membership).To(Equal(member.Membership))
+	t.Run("without the list reports go", func(t *testing.T) {
+		g := NewWithT(t)
+		list, _ := k.List()
+		k.List = func() (*roster.Roster, time.Time) { return list, time.Now().Add(-time.Hour) }
+		k.askOne(context.Background(), w)
+		g.Expect(w.server.Membership.State).To(Equal(roster.Alone))
+	})
+}
--- a/internal/keeper/workers.go
+++ b/internal/keeper/workers.go
@@ -168,7 +168,7 @@
 		gone[group] = k.headless[group] || now.Sub(first) > k.StallTime+breakMargin
 	}
 	for group := range k.headless {
-		if !groups[group] {
+		if !groups[group] || heads[group] {
 			delete(k.headless, group)
 		}
 	}
@@ -254,8 +254,10 @@
 		return
 	}
 	report.Draining = w.server.Draining
-	if w.listed && began.Sub(w.entryAt) < reportLag {
-		report.Membership, report.Staged, report.Models = w.server.Membership, w.server.Staged, w.server.Models
+	if _, read := k.List(); w.listed && began.Sub(read) < listTrust {
+		// A report may be older than the entry. Taken for a head that left, an old
+		// one would set the members of an open group free.
+		report.Membership, report.Staged, report.Models = w.entry.Membership, w.entry.Staged, w.entry.Models
 	}
 	k.replace(w, report)
 	w.known, w.reportAt = true, began
