formation, keeper: epochs grow over orders that no worker shows yet

The next epoch was taken from what workers show, so that an order to a spare without an answer, carried out seconds later, could name an epoch as high as that of the group which the worker had joined since, and replaced it. Change: the highest epoch ever named is kept; a new keeper leaves a gap. Test: TestEpochsOnlyGrow, which can't be met without the change.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -37,6 +37,8 @@
 	reportLag = 350 * time.Millisecond
 	// listTrust is the age up to which the platform's list goes before reports.
 	listTrust = 1500 * time.Millisecond
+	// epochGap is more than a keeper names between two reports of the workers.
+	epochGap = 1000
 	// noteInterval is how often the same event of a group is logged.
 	noteInterval = 5 * time.Second
 	maxTold      = 256 // notes that are remembered for that
@@ -110,6 +112,7 @@
 	headlessSince map[string]time.Time // groups without a known head
 	forming       map[string]formation.Forming
 	staging       map[string]formation.Staging
+	epoch         int64 // the highest that an order has named
 	loads         loadBudget
 	lostAt        map[string]time.Time // when a model lost a group
 }
@@ -151,7 +154,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heads, k.published = nil, false
-	k.forming, k.staging = nil, nil
+	k.forming, k.staging, k.epoch = nil, nil, 0
 	for _, w := range k.workers {
 		w.known, w.failures = false, 0
 	}
@@ -173,7 +176,7 @@
 	}
 	in := k.input(time.Now(), engine)
 	d := formation.Decide(in)
-	k.forming, k.staging = d.Forming, d.Staging
+	k.forming, k.staging, k.epoch = d.Forming, d.Staging, d.Epoch
 	k.tell(d.Notes)
 	k.send(ctx, d.Orders)
 	k.publish()
@@ -207,6 +210,12 @@
 			Server: w.server, Lost: w.lost(), Known: w.known && w.failures == 0, Cold: now.Before(w.server.ColdUntil), Since: w.seenAt,
 		})
 	}
+	if in.Epoch = k.epoch; in.Epoch == 0 {
+		// Orders of an earlier keeper may be under way with epochs that no worker shows yet.
+		for _, w := range in.Workers {
+			in.Epoch = max(in.Epoch, w.Membership.Epoch+epochGap)
+		}
+	}
 	slices.SortFunc(in.Workers, func(a, b formation.Worker) int {
 		if a.ID < b.ID {
 			return -1
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -75,6 +75,9 @@
 	// Headless are the groups whose head certainly serves no more, although
 	// it is not among the workers.
 	Headless map[string]bool
+	// Epoch is the highest epoch that any order has named, also one that was not
+	// answered: carried out late, it must be lower than what came after it.
+	Epoch int64
 	// Closed data centres form no groups; those that are there stay.
 	Closed bool
 	// Serving is set once clients send requests; loads take their full time then.
@@ -104,6 +107,7 @@
 	Forming map[string]Forming
 	Staging map[string]Staging
 	Notes   []Note
+	Epoch   int64 // the highest epoch that an order has named
 }
 
 // Name returns a group's name for a model; suffix makes it the only one.
@@ -171,6 +175,7 @@
 		counts:   map[string]int{},
 		d:        Decision{Forming: map[string]Forming{}, Staging: map[string]Staging{}},
 	}
+	d.epoch = in.Epoch
 	d.observe()
 	for _, group := range sortedKeys(d.Forming) {
 		d.settleForming(d.Forming[group])
@@ -189,6 +194,7 @@
 		}
 		d.prepare()
 	}
+	d.d.Epoch = d.epoch
 	return d.d
 }
 
--- a/pkg/formation/formation_test.go
+++ b/pkg/formation/formation_test.go
@@ -169,3 +169,20 @@
 	}
 	g.Expect(found).To(BeTrue())
 }
+
+// Orders that are carried out late and out of order must not undo newer ones:
+// each order to join names a higher epoch than all before it.
+func TestEpochsOnlyGrow(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(start, 1, 7)
+	epoch := int64(0)
+	for range 5 { // no order is carried out, so no report shows an epoch
+		d := formation.Decide(formation.Input{
+			Now: start, Engine: w.engine, MayLoad: 8, AtOnce: 8, Epoch: epoch, NewName: func(m string) string { return formation.Name(m, "x") },
+			Workers: []formation.Worker{{Server: roster.Server{ID: "w", Domain: "d", Staged: []string{"large"}}, Known: true}},
+		})
+		g.Expect(d.Orders).To(HaveLen(1))
+		g.Expect(d.Orders[0].Epoch).To(BeNumerically(">", epoch))
+		epoch = d.Epoch
+	}
+}
