--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -216,12 +217,7 @@
 			in.Epoch = max(in.Epoch, w.Membership.Epoch+epochGap)
 		}
 	}
-	slices.SortFunc(in.Workers, func(a, b formation.Worker) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(in.Workers, func(a, b formation.Worker) int { return strings.Compare(a.ID, b.ID) })
 	return in
 }
 
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -98,21 +99,11 @@
 		b.kinds[k] = append(b.kinds[k], p)
 	}
 	for _, of := range b.kinds {
-		slices.SortFunc(of, func(x, y *place) int { return compareIDs(x.ID, y.ID) })
+		slices.SortFunc(of, func(x, y *place) int { return strings.Compare(x.ID, y.ID) })
 	}
 	b.sumRemotes(now)
 }
 
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // SetRemote replaces what a neighbour has running.
 func (b *Board) SetRemote(now time.Time, instance string, loads map[string]Load) {
 	if b.remotes == nil {
