keeper, formation: a count goes with its group, members leave before they join another

A listed worker's report was combined with the group of its entry in the platform's list, which may be older than the report: the count was that after a join, the group that before it, so that the worker accepted an order that was decided on the older state. Members of a silent head were joined to another group after stall-ms, although the head may be cut off and open. Excluded: epochs; orders carried out late (they name a count). Change: the group and the count come from one report or answer; an entry that names another group than is known makes the keeper ask. Members leave their group before they join another, so that a silent head is given up after 1 s instead of 6.4 s. Questions and orders without an answer no longer hold up the keeper's other work. The test of the list going before reports is replaced by one on the entry's age: a recently read list may hold an old entry.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
@@ -51,10 +52,15 @@
 	// forgetUnlisted is how long an instance that is not the keeper remembers a
 	// worker that left the list; none serves on for so long.
 	forgetUnlisted = 30 * time.Second
-	// breakMargin is added to the time in which groups break.
-	breakMargin = 400 * time.Millisecond
-	// parallel bounds the questions and orders that are under way.
-	parallel = 24
+	// headPatience is how long a head is silent before its members leave it. The
+	// other instances ask it meanwhile.
+	headPatience = time.Second
+	// unlistedPatience is how long a group's head may be missing in the platform's
+	// list; entries that lapsed with the platform are back in that time.
+	unlistedPatience = 2500 * time.Millisecond
+	// callPatience is how long a step waits for answers; workers that serve answer
+	// within some milliseconds.
+	callPatience = 30 * time.Millisecond
 )
 
 // Outcome is a worker's answer to an order.
@@ -72,7 +78,6 @@
 // set before Run; zero values of its state are ready.
 type Keeper struct {
 	DataCentre string
-	StallTime  time.Duration // after which a silent head can't be open any more
 	LoadWindow time.Duration // over which the rate of loads is counted
 	Log        *telemetry.Log
 	Metrics    *telemetry.Metrics
@@ -101,6 +106,11 @@
 	// Order sends an order that holds only if the worker has begun as many orders as count says.
 	Order func(ctx context.Context, to roster.Server, o formation.Order, count int64) (Outcome, error)
 
+	patience time.Duration // of a step for answers; 0 means callPatience
+
+	calls   errgroup.Group
+	results chan func() // take in what calls have brought
+
 	mu        sync.Mutex
 	workers   map[string]*worker
 	heads     []roster.Server
@@ -123,6 +133,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	defer k.calls.Wait() // its calls return no errors
 	acting := false
 	for {
 		select {
@@ -130,6 +141,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		k.collect()
 		if turn := k.Acting(); turn != acting {
 			acting = turn
 			k.Log.Info("keeper", telemetry.Fields{"acting": acting, "data_centre": k.DataCentre})
@@ -157,7 +169,7 @@
 	k.heads, k.published = nil, false
 	k.forming, k.staging, k.epoch = nil, nil, 0
 	for _, w := range k.workers {
-		w.known, w.failures = false, 0
+		w.known, w.reported, w.failures = false, false, 0
 	}
 }
 
@@ -244,38 +256,36 @@
 	}
 }
 
-// send sends the orders side by side and waits for their answers.
+// send sends the orders side by side.
 func (k *Keeper) send(ctx context.Context, orders []formation.Order) {
-	var group errgroup.Group
-	group.SetLimit(parallel)
+	var calls []call
 	for _, o := range orders {
-		group.Go(func() error {
-			k.sendOne(ctx, o)
-			return nil
+		w := k.workers[o.Worker]
+		if w == nil || !w.known || w.ordering {
+			continue
+		}
+		if w.settling(time.Now()) && w.ordered.Operation == o.Operation && w.ordered.Group == o.Group {
+			continue
+		}
+		w.ordering = true
+		server, count := w.server, w.server.Orders
+		if o.Loads {
+			k.loads.spend(time.Now(), 1)
+		}
+		calls = append(calls, func() func() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			outcome, err := k.Order(ctx, server, o, count)
+			return func() {
+				w.ordering = false
+				k.takeAnswer(w, o, count, outcome, err)
+			}
 		})
 	}
-	_ = group.Wait() // sendOne records its failures with the worker
+	k.run(ctx, calls)
 }
 
-func (k *Keeper) sendOne(ctx context.Context, o formation.Order) {
-	k.mu.Lock()
-	w := k.workers[o.Worker]
-	if w == nil || !w.known {
-		k.mu.Unlock()
-		return
-	}
-	if w.settling(time.Now()) && w.ordered.Operation == o.Operation && w.ordered.Group == o.Group {
-		k.mu.Unlock()
-		return
-	}
-	server, count := w.server, w.server.Orders
-	if o.Loads {
-		k.loads.spend(time.Now(), 1)
-	}
-	k.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	outcome, err := k.Order(ctx, server, o, count)
+func (k *Keeper) takeAnswer(w *worker, o formation.Order, count int64, outcome Outcome, err error) {
 	fields := telemetry.Fields{
 		"worker": o.Worker, "operation": o.Operation.String(), "group": o.Group, "epoch": o.Epoch, "model": o.Model,
 		"count": count, "reason": o.Reason, "outcome": outcome.String(),
@@ -285,19 +295,12 @@
 	}
 	k.Log.Info("order", fields)
 	k.Metrics.Orders.WithLabelValues(o.Operation.String(), outcome.String()).Inc()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	w.ordered, w.answered = o, time.Now()
+	was := w.server
+	w.takeAnswer(o, count, outcome, time.Now())
+	k.moved(was, w.server)
 	if f, ok := k.forming[o.Group]; ok && o.Operation == formation.Join && outcome != Rejected {
 		f.Joined[o.Worker] = true
 	}
-	switch outcome {
-	case Begun:
-		w.server.Orders = max(w.server.Orders, count+1)
-	case Unknown, Rejected:
-		// The count is taken from the next report as it is.
-		w.answered, w.known = time.Time{}, false
-	}
 	if o.Operation == formation.Open && outcome == Begun {
 		if at, ok := k.lostAt[formation.ModelOf(o.Group)]; ok {
 			delete(k.lostAt, formation.ModelOf(o.Group))
@@ -307,6 +310,57 @@
 	}
 }
 
+// call makes a question or an order and returns what takes its result in.
+type call func() func()
+
+// run makes calls side by side and takes their results in. It does not wait long
+// for workers that don't answer; their results are taken in by a later step.
+func (k *Keeper) run(ctx context.Context, calls []call) {
+	if k.results == nil {
+		k.results = make(chan func())
+	}
+	for _, c := range calls {
+		k.calls.Go(func() error {
+			take := c()
+			select {
+			case k.results <- take:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+	patience := time.NewTimer(cmp.Or(k.patience, callPatience))
+	defer patience.Stop()
+	for range calls {
+		select {
+		case take := <-k.results:
+			k.take(take)
+		case <-patience.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *Keeper) take(result func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	result()
+}
+
+// collect takes in the results that have come since the last step.
+func (k *Keeper) collect() {
+	for {
+		select {
+		case take := <-k.results:
+			k.take(take)
+		default:
+			return
+		}
+	}
+}
+
 // publish notes the heads that are open.
 func (k *Keeper) publish() {
 	k.mu.Lock()
--- a/internal/keeper/workers.go
+++ b/internal/keeper/workers.go
@@ -6,38 +6,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/formation"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
-// worker is what the keeper knows of a worker.
-type worker struct {
-	server     roster.Server // newest of list and report
-	entry      roster.Server // as last listed
-	entryAt    time.Time     // when that was taken in
-	seenAt     time.Time
-	listed     bool
-	unlistedAt time.Time // when it was first missing in the list
-	known      bool      // its count of orders is known
-	askedAt    time.Time // when its report was last asked for
-	reportAt   time.Time // when the last report that came was asked for
-	failures   int       // questions without an answer, in a row
-	silent     time.Time // when the first of them was asked
-	ended      bool      // its address answered for it: no process, or another worker
-	ordered    formation.Order
-	answered   time.Time // when the last order was answered or given up; zero before the first
-}
-
-// settling reports whether the worker's reports may be older than its last order.
-func (w *worker) settling(now time.Time) bool {
-	return !w.answered.IsZero() && now.Sub(w.answered) < settleTime
-}
-
-func (w *worker) lost() bool { return w.failures >= lostAfter }
-
 // merge takes the platform's list in. Only a keeper that asks the workers can
 // tell which of those that are not listed are gone.
 func (k *Keeper) merge(now time.Time, service string, acting bool) {
@@ -63,13 +37,14 @@
 			if w != nil {
 				k.leftGroup(w.server)
 			}
-			w = &worker{server: s, entry: s, entryAt: now, seenAt: now}
+			w = newWorker(s, now)
 			k.workers[s.ID] = w
 		}
 		w.listed, w.unlistedAt = true, time.Time{}
 		if s.Seq != w.entry.Seq {
-			w.entry, w.entryAt = s, now
-			k.takeEntry(w, s)
+			was := w.server
+			w.takeEntry(s, now)
+			k.moved(was, w.server)
 		}
 		w.server.Draining = s.Draining
 	}
@@ -96,14 +71,14 @@
 			delete(k.workers, id)
 		case w.server.IsHead():
 			// If it comes back, its next report says where it is.
-			w.server.Membership, w.known, w.entryAt = roster.Membership{}, false, time.Time{}
+			w.server.Membership, w.known, w.movedAt = roster.Membership{}, false, time.Time{}
 		}
 	}
 }
 
-// gone reports whether a worker that doesn't answer can't be serving any more.
-// A silent head may be cut off from here only, and still be open; it has broken
-// for certain when it has been silent for longer than groups take to break.
+// gone reports whether a worker that doesn't answer is given up. A silent head
+// may be cut off from here only, so the other instances are given time to ask it.
+// It may still be open: its members leave its group before they join another.
 func (k *Keeper) gone(w *worker, now time.Time) bool {
 	switch {
 	case !w.lost() || k.Moving(w.server.ID):
@@ -111,21 +86,14 @@
 	case !w.server.IsHead() || w.ended:
 		return true
 	}
-	return now.Sub(w.silent) > k.StallTime+breakMargin
-}
-
-// takeEntry takes over what a newer entry says.
-func (k *Keeper) takeEntry(w *worker, s roster.Server) {
-	s.Orders, s.Busy, s.Pace = w.server.Orders, w.server.Busy, w.server.Pace
-	k.replace(w, s)
+	return now.Sub(w.silent) > headPatience
 }
 
-// replace takes over what a worker says of itself.
-func (k *Keeper) replace(w *worker, s roster.Server) {
-	if s.Membership.Group != w.server.Membership.Group || s.Membership.Epoch != w.server.Membership.Epoch {
-		k.leftGroup(w.server)
+// moved notes that a worker is in another group than before.
+func (k *Keeper) moved(was, is roster.Server) {
+	if !sameGroup(was.Membership, is.Membership) {
+		k.leftGroup(was)
 	}
-	w.server = s
 }
 
 // leftGroup notes that a head serves its group no more, so that its members are free.
@@ -139,8 +107,8 @@
 	k.headless[was.Membership.Group] = true
 }
 
-// headlessGroups returns the groups whose head certainly serves no more: it was
-// seen to leave, or nothing was heard of it for longer than groups take to break.
+// headlessGroups returns the groups whose head was seen to leave, is given up, or
+// has not been listed for a while.
 func (k *Keeper) headlessGroups(now time.Time) map[string]bool {
 	heads, groups := map[string]bool{}, map[string]bool{}
 	for _, w := range k.workers {
@@ -165,7 +133,7 @@
 	k.headlessSince = since
 	gone := map[string]bool{}
 	for group, first := range since {
-		gone[group] = k.headless[group] || now.Sub(first) > k.StallTime+breakMargin
+		gone[group] = k.headless[group] || now.Sub(first) > unlistedPatience
 	}
 	for group := range k.headless {
 		if !groups[group] || heads[group] {
@@ -189,12 +157,11 @@
 	for _, w := range k.workers {
 		group := w.server.Membership.Group
 		due := !w.known || !w.listed || group != "" && stalled[group] || w.failures > 0 ||
-			w.settling(now) && now.Sub(w.entryAt) > reportLag && now.Sub(w.askedAt) > reportLag ||
+			w.settling(now) && now.Sub(w.movedAt) > reportLag && now.Sub(w.askedAt) > reportLag ||
 			group != "" && now.Sub(w.askedAt) > memberInterval
-		if !due || w.lost() && now.Sub(w.askedAt) < lostRecheck {
+		if !due || w.asking || now.Before(w.askAfter) || w.lost() && now.Sub(w.silent) > headPatience && now.Sub(w.askedAt) < lostRecheck {
 			continue
 		}
-		w.askedAt = now
 		ask = append(ask, w)
 	}
 	return ask
@@ -202,65 +169,57 @@
 
 // ask asks workers for their reports, side by side.
 func (k *Keeper) ask(ctx context.Context, workers []*worker) {
-	var group errgroup.Group
-	group.SetLimit(parallel)
+	var calls []call
 	for _, w := range workers {
-		group.Go(func() error {
-			k.askOne(ctx, w)
-			return nil
+		w.asking, w.askedAt = true, time.Now()
+		known := w.server
+		calls = append(calls, func() func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			began := time.Now()
+			report, err := k.Report(ctx, known)
+			return func() {
+				w.asking = false
+				if err != nil {
+					k.takeSilence(w, began, err)
+					return
+				}
+				k.takeReport(w, began, report)
+			}
 		})
 	}
-	_ = group.Wait() // askOne records its failures with the worker
+	k.run(ctx, calls)
 }
 
-func (k *Keeper) askOne(ctx context.Context, w *worker) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	k.mu.Lock()
-	known := w.server
-	k.mu.Unlock()
-	began := time.Now()
-	report, err := k.Report(ctx, known)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if err != nil {
-		k.Metrics.Probes.WithLabelValues("failed").Inc()
-		if w.failures == 0 {
-			w.silent = began
-		}
-		w.ended = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrAnotherWorker)
-		if w.failures++; w.failures == lostAfter {
-			k.Log.Info("worker lost", telemetry.Fields{
-				"worker": known.ID, "group": known.Membership.Group, "error": err.Error(), "listed": w.listed,
-			})
-			if m := known.Membership; m.State != roster.Alone {
-				if k.lostAt == nil {
-					k.lostAt = map[string]time.Time{}
-				}
-				k.lostAt[formation.ModelOf(m.Group)] = began
-			}
-		}
+// takeSilence notes that a worker has not answered a question.
+func (k *Keeper) takeSilence(w *worker, began time.Time, err error) {
+	k.Metrics.Probes.WithLabelValues("failed").Inc()
+	if w.failures == 0 {
+		w.silent = began
+	}
+	w.ended = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrAnotherWorker)
+	if w.failures++; w.failures != lostAfter {
 		return
 	}
+	m := w.server.Membership
+	k.Log.Info("worker lost", telemetry.Fields{"worker": w.server.ID, "group": m.Group, "error": err.Error(), "listed": w.listed})
+	if m.State != roster.Alone {
+		if k.lostAt == nil {
+			k.lostAt = map[string]time.Time{}
+		}
+		k.lostAt[formation.ModelOf(m.Group)] = began
+	}
+}
+
+func (k *Keeper) takeReport(w *worker, began time.Time, report roster.Server) {
 	k.Metrics.Probes.WithLabelValues("answered").Inc()
-	if w.failures >= lostAfter {
-		k.Log.Info("worker back", telemetry.Fields{"worker": known.ID})
+	if w.lost() {
+		k.Log.Info("worker back", telemetry.Fields{"worker": w.server.ID})
 	}
 	w.failures, w.silent, w.ended = 0, time.Time{}, false
-	if w.settling(began) && report.SameLife(w.server) && report.Orders < w.server.Orders {
-		// The report is older than the answer to the last order. Its state must
-		// not be taken together with the newer count.
-		w.known, w.reportAt = true, began
-		return
-	}
-	report.Draining = w.server.Draining
-	if _, read := k.List(); w.listed && began.Sub(read) < listTrust {
-		// A report may be older than the entry. Taken for a head that left, an old
-		// one would set the members of an open group free.
-		report.Membership, report.Staged, report.Models = w.entry.Membership, w.entry.Staged, w.entry.Models
-	}
-	k.replace(w, report)
-	w.known, w.reportAt = true, began
+	was := w.server
+	w.takeReport(report, began)
+	k.moved(was, w.server)
 }
 
 // ErrAnotherWorker marks a question that another worker at the address answered.
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -126,8 +126,12 @@
 }
 
 func (d *decider) pick(model catalog.Model, better []catalog.Model, workers []*Worker) (candidate, verdict) {
-	if len(workers) < model.Size {
+	emptying := d.emptying[workers[0].Domain]
+	switch {
+	case len(workers)+emptying < model.Size:
 		return candidate{}, none
+	case emptying > 0:
+		return candidate{}, held // the others have the weights
 	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
 		return cmp.Compare(d.joinRank(a, model, better), d.joinRank(b, model, better))
@@ -234,7 +238,7 @@
 func (d *decider) prepare() {
 	for _, id := range sortedKeys(d.free) {
 		w := d.free[id]
-		if _, staging := d.d.Staging[id]; staging || w.Busy || w.Membership.State == roster.Joining {
+		if _, staging := d.d.Staging[id]; staging || w.Busy || w.Membership.State == roster.Joining || d.emptying[w.Domain] > 0 {
 			continue
 		}
 		model, ok := d.needed(w)
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -72,8 +72,7 @@
 	Workers []Worker
 	Forming map[string]Forming // by group
 	Staging map[string]Staging // by worker
-	// Headless are the groups whose head certainly serves no more, although
-	// it is not among the workers.
+	// Headless are the groups whose head serves no more, or is given up.
 	Headless map[string]bool
 	// Epoch is the highest epoch that any order has named, also one that was not
 	// answered: carried out late, it must be lower than what came after it.
@@ -158,6 +157,7 @@
 	reserved map[string]*Worker // free, but kept for a group
 	taken    map[string]bool    // workers of groups that are forming
 	counts   map[string]int     // groups that are open or forming, by model
+	emptying map[string]int     // workers that leave their group, by domain
 	epoch    int64
 	d        Decision
 }
@@ -173,6 +173,7 @@
 		reserved: map[string]*Worker{},
 		taken:    map[string]bool{},
 		counts:   map[string]int{},
+		emptying: map[string]int{},
 		d:        Decision{Forming: map[string]Forming{}, Staging: map[string]Staging{}},
 	}
 	d.epoch = in.Epoch
@@ -336,11 +337,14 @@
 	}
 }
 
-func (d *decider) leave(head *Worker, group string, epoch int64, reason string) {
-	if !head.Known {
+func (d *decider) leave(w *Worker, group string, epoch int64, reason string) {
+	if !w.Draining {
+		d.emptying[w.Domain]++
+	}
+	if !w.Known {
 		return
 	}
-	d.order(Order{Worker: head.ID, Operation: Leave, Group: group, Epoch: epoch, Reason: reason})
+	d.order(Order{Worker: w.ID, Operation: Leave, Group: group, Epoch: epoch, Reason: reason})
 }
 
 // settleGroup looks after a group that is not forming here.
@@ -429,11 +433,12 @@
 	return needed <= 0
 }
 
-// release makes members of a group that can't open any more free.
+// release lets members of a group that serves no more leave it. They join another
+// one only from no group: the head may be cut off and open still.
 func (d *decider) release(members []*Worker) {
 	for _, w := range members {
-		if !w.Lost && !w.Draining && w.Known && !d.taken[w.ID] {
-			d.free[w.ID] = w
+		if !w.Lost && !d.taken[w.ID] {
+			d.leave(w, w.Membership.Group, w.Membership.Epoch, "group serves no more")
 		}
 	}
 }
