platform, gateway, dispatch: told places by the age of their list, turns at cold places

An instance that hears keepers doesn't read the workers' entries; when a keeper fell silent or lost the store, its places fell back to the list it had read long ago. A keeper that wakes from a suspension told places whose age was taken on a clock that stands still meanwhile. Both found by reading. Change: a digest carries the age of the keeper's list, on the clock that counts suspensions; the newer of what was told and what was read goes. An instance has turns at a cold place that start at a random moment and lapse when unused. A request that waited while the last place went is refused as having none. Open: internal/deployment TestDataCentreTakenOut and TestDataCentreReturnsCold failed once with -race beside the other packages; nothing that they use has changed.

--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
 	"github.com/chicorystall/chicorystall/pkg/formation"
@@ -11,9 +13,14 @@
 type Layout struct {
 	Catalog *catalog.Catalog
 	Servers *roster.Roster
-	// Told holds the places of the data centres whose keepers are heard. A keeper
-	// knows of a change before the platform's list does.
-	Told map[string][]dispatch.Place
+	// Listed is when Servers were last read, Now the present time, both on the
+	// clock of package boottime.
+	Listed, Now time.Duration
+	// Told holds the places of each data centre as its keeper last told.
+	Told map[string]Told
+	// Trust is how old the list of a keeper may be for its word to go before a
+	// newer list: a keeper knows of a change of its groups before the list does.
+	Trust time.Duration
 	// Heads are the open heads of this instance's data centre where it is the
 	// keeper itself; nil elsewhere.
 	Heads map[string]bool
@@ -23,6 +30,19 @@
 	Closed func(dataCentre string) bool
 }
 
+// Told are the places of a data centre as its keeper told.
+type Told struct {
+	Places []dispatch.Place
+	Listed time.Duration // when the keeper last read the platform's list, on the clock of package boottime
+}
+
+// tells reports whether a keeper's word goes before the list. An instance that
+// hears keepers doesn't read the list, which may be far older than what they
+// told last.
+func (l Layout) tells(t Told) bool {
+	return l.Now-t.Listed < l.Trust || t.Listed > l.Listed
+}
+
 // Places returns the places that take requests.
 func (l Layout) Places() []dispatch.Place {
 	if l.Catalog == nil {
@@ -30,10 +50,10 @@
 	}
 	var places []dispatch.Place
 	for dataCentre, told := range l.Told {
-		if l.Closed(dataCentre) {
+		if l.Closed(dataCentre) || !l.tells(told) {
 			continue
 		}
-		for _, p := range told {
+		for _, p := range told.Places {
 			if service, ok := l.Catalog.Service(p.Service); ok {
 				p.ColdRate = service.ColdRate
 				places = append(places, p)
@@ -42,7 +62,10 @@
 	}
 	for _, s := range l.Servers.All() {
 		service, ok := l.Catalog.Service(s.Service)
-		if _, told := l.Told[s.DataCentre]; told || !ok || s.Draining || l.Closed(s.DataCentre) {
+		if told, ok := l.Told[s.DataCentre]; ok && l.tells(told) {
+			continue
+		}
+		if !ok || s.Draining || l.Closed(s.DataCentre) {
 			continue
 		}
 		p := dispatch.Place{
--- /dev/null
+++ b/internal/gateway/layout_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/roster"
+)
+
+// An instance that hears a keeper doesn't read the platform's list itself. When
+// the keeper falls silent, the list that it has may name workers that have left
+// long ago; what the keeper told last is newer.
+func TestPlacesFollowTheNewerKnowledge(t *testing.T) {
+	listed := roster.New([]roster.Server{{ID: "left", Service: "desk", DataCentre: "a"}})
+	told := []dispatch.Place{{ID: "stays", Service: "desk", DataCentre: "a"}}
+	for _, c := range []struct {
+		name       string
+		list, told time.Duration
+		want       string
+	}{
+		{"a keeper that was heard just now", 0, 10 * time.Second, "stays"},
+		{"an old list against a keeper that fell silent", time.Second, 6 * time.Second, "stays"},
+		{"a list that was read since", 8 * time.Second, 6 * time.Second, "left"},
+		{"a keeper that tells of its groups before the list does", 10 * time.Second, 9500 * time.Millisecond, "stays"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := Layout{
+				Catalog: catalog.New(catalog.Content{Services: []catalog.Service{{Name: "desk"}}}),
+				Servers: listed, Listed: c.list, Now: 10 * time.Second, Trust: time.Second,
+				Told:   map[string]Told{"a": {Places: told, Listed: c.told}},
+				Closed: func(string) bool { return false },
+			}
+			places := l.Places()
+			g.Expect(places).To(HaveLen(1))
+			g.Expect(places[0].ID).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -49,9 +49,7 @@
 		p.wake(t, dispatch.Decision{Verdict: dispatch.Run, Place: t.Place()})
 	}
 	for _, t := range p.board.Expired(now) {
-		p.wake(t, dispatch.Decision{
-			Verdict: dispatch.Refuse, Reason: dispatch.ReasonExpired, RetryAfter: p.board.RetryAfter(t.Service, t.Model),
-		})
+		p.wake(t, p.board.Dismiss(t))
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -115,6 +115,7 @@
 	workers   map[string]*worker
 	heads     []roster.Server
 	published bool           // heads holds what this turn as the keeper has found
+	repairing bool           // groups are forming
 	list      *roster.Roster // the last that was taken in
 	turn      time.Time      // when this instance became the keeper
 
@@ -166,7 +167,7 @@
 func (k *Keeper) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.heads, k.published = nil, false
+	k.heads, k.published, k.repairing = nil, false, false
 	k.forming, k.staging, k.epoch = nil, nil, 0
 	for _, w := range k.workers {
 		w.known, w.reported, w.failures = false, false, 0
@@ -371,7 +372,15 @@
 			heads = append(heads, w.server)
 		}
 	}
-	k.heads, k.published = heads, true
+	k.heads, k.published, k.repairing = heads, true, len(k.forming) > 0
+}
+
+// Repairing reports whether groups are forming, which goes on with the next
+// change of an entry in the platform's list.
+func (k *Keeper) Repairing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.repairing
 }
 
 // Heads returns the open heads of the data centre as the keeper knows them. It
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -27,6 +27,8 @@
 	// OperatorEnd, OperatorAge and Echoes are for.
 	Keeper bool    `cbor:"11,keyasint,omitempty"`
 	Places []Place `cbor:"12,keyasint,omitempty"` // of its data centre
+	// ListAge is the milliseconds since the keeper read the list that Places follow from.
+	ListAge int64 `cbor:"19,keyasint,omitempty"`
 	// Blind instances have not reached the platform's store for a while. One
 	// that has looks after the groups in their place.
 	Blind bool `cbor:"18,keyasint,omitempty"`
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,8 @@
 type Board struct {
 	Instances  int // processes that share the rate of a cold place; 0 counts as 1
 	MaxWaiting int // tickets of one kind that wait; 0 means DefaultMaxWaiting
+	// Draw returns a random number from 0 up to but without 1; nil means a usual one.
+	Draw func() float64
 
 	places  map[string]*place
 	kinds   map[kind][]*place
@@ -200,7 +203,7 @@
 	var best *place
 	var bestScore float64
 	for _, p := range b.kinds[kind{t.Service, t.Model}] {
-		if !p.free() || now.Before(p.doubtUntil) || t.tried(p.ID) || !p.bears(now, b.Instances) {
+		if !p.free() || now.Before(p.doubtUntil) || t.tried(p.ID) || !b.bears(now, p) {
 			continue
 		}
 		if score := p.score(t, now); best == nil || score < bestScore {
@@ -210,12 +213,26 @@
 	return best
 }
 
+// bears reports whether a place may get a request now, as far as it is cold.
+func (b *Board) bears(now time.Time, p *place) bool {
+	return p.ColdRate <= 0 || !now.Before(p.ColdUntil) || p.hasTurn(now, b.turns(p))
+}
+
+// turns returns how this instance's turns at a cold place are chosen.
+func (b *Board) turns(p *place) turns {
+	draw := b.Draw
+	if draw == nil {
+		draw = rand.Float64
+	}
+	return turns{draw: draw, period: time.Duration(float64(max(b.Instances, 1)) / (coldShare * p.ColdRate) * float64(time.Second))}
+}
+
 func (b *Board) take(now time.Time, t *Ticket, p *place) {
 	t.place, t.waiting, t.reading, t.placed = p, false, true, now
 	p.own.Running++
 	p.own.Reading += t.Prompt
 	if p.ColdRate > 0 && now.Before(p.ColdUntil) {
-		p.cold--
+		p.coldTurn = p.turn(now, b.turns(p))
 	}
 }
 
@@ -269,6 +286,17 @@
 	return expired
 }
 
+// Dismiss returns the refusal of a ticket that waited in vain.
+func (b *Board) Dismiss(t *Ticket) Decision {
+	k := kind{t.Service, t.Model}
+	d := b.describe(k, t)
+	d.Reason, d.RetryAfter = ReasonExpired, b.retryAfter(k)
+	if d.Places == 0 {
+		d.Reason = ReasonNoPlace
+	}
+	return d
+}
+
 // Leave takes a ticket out that no longer waits, such as one whose client left.
 func (b *Board) Leave(t *Ticket) {
 	k := kind{t.Service, t.Model}
--- a/pkg/dispatch/board_test.go
+++ b/pkg/dispatch/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -178,6 +179,42 @@
 	}
 }
 
+// Work that comes to all instances at once finds a cold place with no more turns
+// than it bears in a second, also when none of them has sent there for a while.
+func TestColdPlacesUnderABurst(t *testing.T) {
+	const (
+		rate  = 26.0
+		bound = 1.5*rate + 5 // requests in a second, of the users' bounds
+		cold  = 3 * time.Second
+	)
+	for _, instances := range []int{1, 9, 63, 72, 300} {
+		for _, quiet := range []time.Duration{0, time.Second, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%d instances after %s", instances, quiet), func(t *testing.T) {
+				g := NewWithT(t)
+				sent := 0
+				random := rand.New(rand.NewPCG(1, uint64(instances)))
+				for range instances {
+					p := head("cold", "a")
+					p.Slots, p.ColdRate, p.ColdUntil = 1000, rate, start.Add(cold)
+					b := board(p)
+					b.Instances, b.Draw, b.MaxWaiting = instances, random.Float64, 1
+					b.Offer(start, ticket(time.Millisecond))
+					for ms := 0; ms < 1000; ms += 10 {
+						now := start.Add(quiet + time.Duration(ms)*time.Millisecond)
+						b.Expired(now)
+						if b.Offer(now, ticket(time.Minute)).Verdict == dispatch.Run {
+							sent++
+						}
+						sent += len(b.Next(now))
+					}
+				}
+				g.Expect(float64(sent)).To(BeNumerically("<=", bound))
+				g.Expect(sent).To(BeNumerically(">", 0))
+			})
+		}
+	}
+}
+
 // BenchmarkOffer decides among the heads of 162 workers with the loads of 72 instances.
 func BenchmarkOffer(b *testing.B) {
 	var places []dispatch.Place
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -29,10 +29,11 @@
 	remote     Load
 	failing    float64 // moving share of failures, 0 to 1
 	failedAt   time.Time
-	doubtUntil time.Time // gets no new work before
-	cold       float64   // requests that may be sent now while it is cold
-	coldAt     time.Time
-	gone       bool // no longer among the places; kept while requests run there
+	doubtUntil time.Time     // gets no new work before
+	coldPeriod time.Duration // between turns to send to it while it is cold
+	coldFrom   time.Time     // when the period before the first turn began
+	coldTurn   int64         // the last turn that was used; 0 before the first
+	gone       bool          // no longer among the places; kept while requests run there
 }
 
 // Weights of a place's score; the lowest score is chosen.
@@ -85,18 +86,36 @@
 	p.failing, p.failedAt = share, now
 }
 
-// bears reports whether a cold place may get one more request now, with an
-// equal part of its rate for each of the instances.
-func (p *place) bears(now time.Time, instances int) bool {
-	if p.ColdRate <= 0 || !now.Before(p.ColdUntil) {
-		return true
-	}
-	rate := p.ColdRate / float64(max(instances, 1))
-	if p.coldAt.IsZero() {
-		p.cold = 1
-	} else {
-		p.cold = min(p.cold+rate*now.Sub(p.coldAt).Seconds(), max(1, rate))
+const (
+	// coldShare is the part of a cold place's rate that is used; instances that
+	// don't know each other's turns may fall together.
+	coldShare = 0.6
+	// coldWindow is how long a turn lasts, so that many instances that wait for
+	// work don't all keep one.
+	coldWindow = 250 * time.Millisecond
+)
+
+// hasTurn reports whether a cold place may get a request now. Each of the instances
+// has turns of its own, one a period, that begin at a random moment: a turn that
+// isn't used is over, so that work that comes to all instances at once finds only
+// some of them with a turn.
+func (p *place) hasTurn(now time.Time, t turns) bool {
+	turn := p.turn(now, t)
+	return turn > p.coldTurn && now.Sub(p.coldFrom)-time.Duration(turn)*p.coldPeriod < coldWindow
+}
+
+// turns says how an instance's turns at a cold place are chosen.
+type turns struct {
+	draw   func() float64
+	period time.Duration // between two turns
+}
+
+// turn numbers the turns of this instance, from 1 on. They begin anew when the
+// number of instances changes.
+func (p *place) turn(now time.Time, t turns) int64 {
+	if p.coldPeriod != t.period {
+		p.coldPeriod, p.coldTurn = t.period, 0
+		p.coldFrom = now.Add(-time.Duration(t.draw() * float64(t.period)))
 	}
-	p.coldAt = now
-	return p.cold >= 1
+	return int64(now.Sub(p.coldFrom) / t.period)
 }
