instance, keeper: keepers tell of data centres that are not heard; losses in stalled groups

While the keeper of any data centre was not heard, all other instances read the workers' entries, some three times a second each. And a member of a group whose streams stand still was asked twice before it counted as lost. Change: a keeper adds the places of data centres whose keepers it doesn't hear; the pause between reads grows with the number of instances; one unanswered question is enough in a group that stands still; members that serve are asked every 3 s.

--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -65,20 +65,37 @@
 		}
 		end, proof := i.state.Operator()
 		d.OperatorEnd, d.OperatorAge = end, (boottime.Now()-proof).Milliseconds()+1
-		now := time.Now()
-		for _, p := range i.layout().Places() {
-			if p.DataCentre != i.settings.DataCentre {
-				continue
-			}
-			d.Places = append(d.Places, neighbour.Place{
-				Server: p.ID, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots,
-				Cold: max(p.ColdUntil.Sub(now), 0).Milliseconds(),
-			})
-		}
+		i.tellPlaces(&d)
 	}
 	return d
 }
 
+// tellPlaces adds the places of the keeper's data centre, and of those whose own
+// keepers are not heard.
+func (i *instance) tellPlaces(d *neighbour.Digest) {
+	for _, dataCentre := range i.settings.DataCentres {
+		if dataCentre == i.settings.DataCentre || i.toldLately(dataCentre) {
+			continue
+		}
+		if d.Elsewhere == nil {
+			d.Elsewhere = map[string][]neighbour.Place{}
+		}
+		d.Elsewhere[dataCentre] = nil // none, unless some follow
+	}
+	now := time.Now()
+	for _, p := range i.layout().Places() {
+		told := neighbour.Place{
+			Server: p.ID, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots,
+			Cold: max(p.ColdUntil.Sub(now), 0).Milliseconds(),
+		}
+		if p.DataCentre == i.settings.DataCentre {
+			d.Places = append(d.Places, told)
+		} else if places, tell := d.Elsewhere[p.DataCentre]; tell {
+			d.Elsewhere[p.DataCentre] = append(places, told)
+		}
+	}
+}
+
 // onDigest takes over what a neighbour tells.
 func (i *instance) onDigest(d neighbour.Digest) {
 	loads := make(map[string]dispatch.Load, len(d.Load))
@@ -92,29 +109,48 @@
 	if sent, ok := i.net.Echoed(d); ok && d.DataCentre == i.settings.DataCentre {
 		i.state.Relay(d.OperatorEnd, sent-time.Duration(d.OperatorAge)*time.Millisecond)
 	}
+	listed := boottime.Now() - time.Duration(d.ListAge)*time.Millisecond
+	changed := i.takePlaces(d.DataCentre, d.Places, listed)
+	for dataCentre, places := range d.Elsewhere {
+		// A keeper reads the list itself, and goes on telling what it has.
+		if dataCentre != i.settings.DataCentre && !i.toldLately(dataCentre) && !i.acting() {
+			changed = i.takePlaces(dataCentre, places, listed) || changed
+		}
+	}
+	if changed {
+		i.layOut()
+	}
+}
+
+// takePlaces takes over the places of a data centre that a keeper told, and
+// reports whether there are others than before.
+func (i *instance) takePlaces(dataCentre string, told []neighbour.Place, listed time.Duration) bool {
 	now := time.Now()
-	places := make([]dispatch.Place, 0, len(d.Places))
-	for _, p := range d.Places {
+	places := make([]dispatch.Place, 0, len(told))
+	for _, p := range told {
 		places = append(places, dispatch.Place{
 			ID: p.Server, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots,
-			DataCentre: d.DataCentre, ColdUntil: now.Add(time.Duration(p.Cold) * time.Millisecond),
+			DataCentre: dataCentre, ColdUntil: now.Add(time.Duration(p.Cold) * time.Millisecond),
 		})
 	}
 	i.mu.Lock()
-	was := i.told[d.DataCentre]
-	listed := boottime.Now() - time.Duration(d.ListAge)*time.Millisecond
+	defer i.mu.Unlock()
+	was := i.told[dataCentre]
 	if listed < was.Listed-neighbour.Interval {
-		i.mu.Unlock()
-		return // another keeper has told what is newer
+		return false // another keeper has told what is newer
 	}
-	changed := !slices.EqualFunc(was.Places, places, func(a, b dispatch.Place) bool {
+	i.told[dataCentre] = gateway.Told{Places: places, Listed: listed}
+	return !slices.EqualFunc(was.Places, places, func(a, b dispatch.Place) bool {
 		return a.ID == b.ID && a.Model == b.Model && a.Address == b.Address
 	})
-	i.told[d.DataCentre] = gateway.Told{Places: places, Listed: listed}
-	i.mu.Unlock()
-	if changed {
-		i.layOut()
-	}
+}
+
+// toldLately reports whether the places of a data centre follow from a list that
+// a keeper has read lately.
+func (i *instance) toldLately(dataCentre string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return boottime.Now()-i.told[dataCentre].Listed < relayTrust
 }
 
 // workersRelayed reports whether the keepers of all data centres are heard, so
@@ -123,17 +159,9 @@
 	return !i.acting() && i.relayed()
 }
 
-// relayed reports whether the keepers of all data centres have told lately what
-// follows from the platform's list.
+// relayed reports whether the places of all data centres were told lately.
 func (i *instance) relayed() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, dataCentre := range i.settings.DataCentres {
-		if boottime.Now()-i.told[dataCentre].Listed >= relayTrust {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(i.settings.DataCentres, func(dataCentre string) bool { return !i.toldLately(dataCentre) })
 }
 
 // layout returns what this instance's places follow from.
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -137,7 +137,8 @@
 		reached:  map[string]time.Time{},
 		stopping: func() bool { return ctx.Err() != nil },
 	}
-	i.state = NewState(i.platform, i.log, i.acting, func() bool { return i.keeper.Repairing() }, i.workersRelayed, i.layOut)
+	i.state = NewState(i.platform, i.log, i.acting, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
+		func() int { return i.net.Processes() }, i.layOut)
 	i.net = &neighbour.Net{
 		Instance: settings.Name, DataCentre: settings.DataCentre, Listen: settings.Neighbours, Started: i.started,
 		Digest: i.digest, OnDigest: i.onDigest,
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -23,9 +23,13 @@
 	// relayCheck is how often an instance looks whether it must read itself.
 	relayCheck = 100 * time.Millisecond
 	// operatorPause parts two reads while the operator writes much, workersPause
-	// while the workers do.
-	operatorPause = 40 * time.Millisecond
-	workersPause  = 300 * time.Millisecond
+	// while the workers do. The latter grows with the number of instances, whose
+	// calls are limited together, up to a part of the shortest time in which work
+	// to a leaving worker must stop.
+	operatorPause    = 40 * time.Millisecond
+	workersPause     = 300 * time.Millisecond
+	workersPauseEach = 15 * time.Millisecond
+	maxWorkersPause  = 800 * time.Millisecond
 	// keeperPause takes the place of workersPause at a keeper, which acts on them,
 	// repairPause while it waits for them to form groups.
 	keeperPause = 200 * time.Millisecond
@@ -50,6 +54,7 @@
 	keeping        func() bool
 	repairing      func() bool
 	workersRelayed func() bool
+	processes      func() int // instances, as far as known
 
 	mu           sync.Mutex
 	view         gateway.View
@@ -74,9 +79,9 @@
 }
 
 // NewState returns a state that its watches keep up to date.
-func NewState(platform Platform, log *telemetry.Log, keeping, repairing, workersRelayed func() bool, onChange func()) *State {
+func NewState(platform Platform, log *telemetry.Log, keeping, repairing, workersRelayed func() bool, processes func() int, onChange func()) *State {
 	return &State{
-		platform: platform, log: log, keeping: keeping, repairing: repairing, workersRelayed: workersRelayed, onChange: onChange,
+		platform: platform, log: log, keeping: keeping, repairing: repairing, workersRelayed: workersRelayed, processes: processes, onChange: onChange,
 		offsets: map[string]int64{}, closed: map[string]bool{}, entries: map[string]entry{}, storeOK: map[string]bool{},
 	}
 }
@@ -126,7 +131,7 @@
 func (s *State) workersRest() time.Duration {
 	switch {
 	case !s.keeping():
-		return workersPause
+		return min(max(workersPause, time.Duration(s.processes())*workersPauseEach), maxWorkersPause)
 	case s.repairing():
 		return repairPause
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,8 +29,9 @@
 	// it goes by an older one and the workers' reports.
 	listPatience = 1500 * time.Millisecond
 	// memberInterval is how often the members of an open group are asked when
-	// nothing points to a loss. Entries in the platform's list lapse later.
-	memberInterval = 1500 * time.Millisecond
+	// nothing points to a loss: streams that stand still do, and an entry in the
+	// platform's list that lapses.
+	memberInterval = 3 * time.Second
 	// settleTime is how long after an order's answer the worker's reports may
 	// still be older than the order.
 	settleTime = 500 * time.Millisecond
@@ -118,6 +119,7 @@
 	turn      time.Time      // when this instance became the keeper
 
 	told          map[formation.Note]time.Time
+	stalled       map[string]bool      // groups whose streams stand still
 	headless      map[string]bool      // groups whose head was seen to leave
 	headlessSince map[string]time.Time // groups without a known head
 	forming       map[string]formation.Forming
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -106,3 +106,31 @@
 		})
 	}
 }
+
+// One unanswered question is enough for a member of a group whose streams stand
+// still, and too little for one of a group that serves.
+func TestASilentMemberOfAStalledGroupIsLost(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		stalled bool
+	}{{"streams stand still", true}, {"streams go on", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			k := keeperOf(func(known roster.Server) (roster.Server, error) {
+				if known.ID == member.ID {
+					return roster.Server{}, errors.New("no answer")
+				}
+				return known, nil
+			})
+			head := member
+			head.ID, head.Membership.Rank, head.Membership.State = "head", 0, roster.Open
+			list := roster.New([]roster.Server{member, head})
+			k.List = func() (*roster.Roster, time.Time) { return list, time.Now() }
+			k.Stalled = func(id string) bool { return c.stalled && id == "head" }
+			k.merge(time.Now(), "pool", true)
+			k.ask(context.Background(), k.toAsk(time.Now()))
+			g.Expect(k.workers["w"].lost()).To(Equal(c.stalled))
+			g.Expect(k.workers["head"].lost()).To(BeFalse())
+		})
+	}
+}
--- a/internal/keeper/workers.go
+++ b/internal/keeper/workers.go
@@ -147,16 +147,16 @@
 func (k *Keeper) toAsk(now time.Time) []*worker {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	stalled := map[string]bool{} // groups
+	k.stalled = map[string]bool{}
 	for id, w := range k.workers {
 		if w.server.IsHead() && k.Stalled(id) {
-			stalled[w.server.Membership.Group] = true
+			k.stalled[w.server.Membership.Group] = true
 		}
 	}
 	var ask []*worker
 	for _, w := range k.workers {
 		group := w.server.Membership.Group
-		due := !w.known || !w.listed || group != "" && stalled[group] || w.failures > 0 ||
+		due := !w.known || !w.listed || group != "" && k.stalled[group] || w.failures > 0 ||
 			w.settling(now) && now.Sub(w.movedAt) > reportLag && now.Sub(w.askedAt) > reportLag ||
 			group != "" && now.Sub(w.askedAt) > memberInterval
 		if !due || w.asking || now.Before(w.askAfter) || w.lost() && now.Sub(w.silent) > headPatience && now.Sub(w.askedAt) < lostRecheck {
@@ -198,10 +198,15 @@
 		w.silent = began
 	}
 	w.ended = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrAnotherWorker)
-	if w.failures++; w.failures != lostAfter {
+	m, was := w.server.Membership, w.lost()
+	w.failures++
+	if m.State != roster.Alone && k.stalled[m.Group] {
+		// Its group's streams stand still, which is the other sign of a loss.
+		w.failures = max(w.failures, lostAfter)
+	}
+	if was || !w.lost() {
 		return
 	}
-	m := w.server.Membership
 	k.Log.Info("worker lost", telemetry.Fields{"worker": w.server.ID, "group": m.Group, "error": err.Error(), "listed": w.listed})
 	if m.State != roster.Alone {
 		if k.lostAt == nil {
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -27,6 +27,9 @@
 	// OperatorEnd, OperatorAge and Echoes are for.
 	Keeper bool    `cbor:"11,keyasint,omitempty"`
 	Places []Place `cbor:"12,keyasint,omitempty"` // of its data centre
+	// Elsewhere are the places of data centres whose keepers the sender doesn't
+	// hear, as the platform's list has them.
+	Elsewhere map[string][]Place `cbor:"20,keyasint,omitempty"`
 	// ListAge is the milliseconds since the keeper read the list that Places follow from.
 	ListAge int64 `cbor:"19,keyasint,omitempty"`
 	// Blind instances have not reached the platform's store for a while. One
