--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -47,9 +47,11 @@
 	}
 	i.mu.Lock()
 	for id, at := range i.reached {
-		if time.Since(at) < reachedFor {
-			d.Reached = append(d.Reached, id)
+		if time.Since(at) >= reachedFor {
+			delete(i.reached, id)
+			continue
 		}
+		d.Reached = append(d.Reached, id)
 	}
 	i.mu.Unlock()
 	own := i.gateway.Places.Own()
--- /dev/null
+++ b/internal/keeper/calls.go
@@ -0,0 +1,115 @@
+package keeper
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/chicorystall/chicorystall/internal/telemetry"
+	"github.com/chicorystall/chicorystall/pkg/formation"
+)
+
+// send sends the orders side by side.
+func (k *Keeper) send(ctx context.Context, orders []formation.Order) {
+	var calls []call
+	for _, o := range orders {
+		w := k.workers[o.Worker]
+		if w == nil || !w.known || w.ordering {
+			continue
+		}
+		if w.settling(time.Now()) && w.ordered.Operation == o.Operation && w.ordered.Group == o.Group {
+			continue
+		}
+		w.ordering = true
+		server, count := w.server, w.server.Orders
+		if o.Loads {
+			k.loads.spend(time.Now(), 1)
+		}
+		calls = append(calls, func() func() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			outcome, err := k.Order(ctx, server, o, count)
+			return func() {
+				w.ordering = false
+				k.takeAnswer(w, o, count, outcome, err)
+			}
+		})
+	}
+	k.run(ctx, calls)
+}
+
+func (k *Keeper) takeAnswer(w *worker, o formation.Order, count int64, outcome Outcome, err error) {
+	fields := telemetry.Fields{
+		"worker": o.Worker, "operation": o.Operation.String(), "group": o.Group, "epoch": o.Epoch, "model": o.Model,
+		"count": count, "reason": o.Reason, "outcome": outcome.String(),
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	k.Log.Info("order", fields)
+	k.Metrics.Orders.WithLabelValues(o.Operation.String(), outcome.String()).Inc()
+	was := w.server
+	w.takeAnswer(o, count, outcome, time.Now())
+	k.moved(was, w.server)
+	if f, ok := k.forming[o.Group]; ok && o.Operation == formation.Join && outcome != Rejected {
+		f.Joined[o.Worker] = true
+	}
+	if o.Operation == formation.Open && outcome == Begun {
+		if at, ok := k.lostAt[formation.ModelOf(o.Group)]; ok {
+			delete(k.lostAt, formation.ModelOf(o.Group))
+			k.Metrics.Repair.Observe(time.Since(at).Seconds())
+			k.Log.Info("group replaced", telemetry.Fields{"group": o.Group, "ms": time.Since(at).Milliseconds()})
+		}
+	}
+}
+
+// call makes a question or an order and returns what takes its result in.
+type call func() func()
+
+// run makes calls side by side and takes their results in. It does not wait long
+// for workers that don't answer; their results are taken in by a later step.
+func (k *Keeper) run(ctx context.Context, calls []call) {
+	if k.results == nil {
+		k.results = make(chan func())
+	}
+	for _, c := range calls {
+		k.calls.Go(func() error {
+			take := c()
+			select {
+			case k.results <- take:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+	patience := time.NewTimer(cmp.Or(k.patience, callPatience))
+	defer patience.Stop()
+	for range calls {
+		select {
+		case take := <-k.results:
+			k.take(take)
+		case <-patience.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *Keeper) take(result func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	result()
+}
+
+// collect takes in the results that have come since the last step.
+func (k *Keeper) collect() {
+	for {
+		select {
+		case take := <-k.results:
+			k.take(take)
+		default:
+			return
+		}
+	}
+}
