--- a/pkg/formation/doc.go
+++ b/pkg/formation/doc.go
@@ -9,8 +9,9 @@
 //   - a group's name is new each time, so that a name and an epoch stand for one
 //     list of members;
 //   - a head is opened only after all members were seen ready under its name and epoch;
-//   - a worker joins another group only after the head of its present one has
-//     left it, has broken, or is gone;
+//   - a worker leaves its group before it joins another, and it is told to only
+//     once the head has left, has broken, or is given up: a head that lives and
+//     is only cut off stands still from then on;
 //   - every order names the number of orders that its worker has begun, so that
 //     an order that is carried out late, or was decided on an older report, is refused.
 //
