instance: places are computed once a refresh; comments name feeds

Cause: refresh computed the places twice, every 250 ms; comments still spoke of topics, which only the adapter knows, and of optional fields that don't exist. Change: one computation serves both uses.

--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -190,8 +190,10 @@
 }
 
 // layOut makes the places anew.
-func (i *instance) layOut() {
-	i.gateway.Places.Set(i.layout().Places(), i.net.Processes())
+func (i *instance) layOut() { i.setPlaces(i.layout().Places()) }
+
+func (i *instance) setPlaces(places []dispatch.Place) {
+	i.gateway.Places.Set(places, i.net.Processes())
 }
 
 // refresh makes the places anew now and then, and drops connections that are of
@@ -205,9 +207,10 @@
 			return nil
 		case <-ticker.C:
 		}
-		i.layOut()
+		places := i.layout().Places()
+		i.setPlaces(places)
 		known := map[exchange.Server]bool{}
-		for _, p := range i.layout().Places() {
+		for _, p := range places {
 			known[exchange.Server{ID: p.ID, Address: p.Address}] = true
 		}
 		i.gateway.Pool.Keep(time.Now(), func(s exchange.Server) bool { return known[s] })
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -48,8 +48,7 @@
 	layoutInterval = 250 * time.Millisecond
 )
 
-// Config is what an instance is run with. All fields but MetricsPort, CheckSettings
-// and the platform's optional ones must be set.
+// Config is what an instance is run with. All fields but MetricsPort must be set.
 type Config struct {
 	Settings    Settings
 	Platform    Platform
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -11,7 +11,7 @@
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 )
 
-// batch is what one read of a topic brought.
+// batch is what one read of a feed brought.
 type batch struct {
 	records []Record
 	full    bool          // holds the newest record of each key, so that others are gone
@@ -19,7 +19,7 @@
 	began   time.Duration // when the read began, on the clock of package boottime
 	ended   time.Duration // when the store had answered, at the earliest, on that clock
 	resumed bool          // the read before it failed
-	end     int64         // offset up to which the topic is known now
+	end     int64         // offset up to which the feed is known now
 }
 
 // watcher follows one feed.
@@ -27,11 +27,11 @@
 	feed  Feed
 	rest  func() time.Duration // between a read that brought records and the next
 	apply func(batch)
-	// relayed reports whether another instance follows the topic for this one.
+	// relayed reports whether another instance follows the feed for this one.
 	relayed func() bool
 }
 
-// watch follows a topic. It reads the newest record of each key first, and again
+// watch follows a feed. It reads the newest record of each key first, and again
 // whenever the store has dropped the records in between.
 func (s *State) watch(ctx context.Context, w watcher) error {
 	next := int64(-1)
@@ -85,20 +85,20 @@
 }
 
 // reachable logs when the store is lost or regained.
-func (s *State) reachable(ctx context.Context, topic string, err error) {
+func (s *State) reachable(ctx context.Context, feed string, err error) {
 	if ctx.Err() != nil || errors.Is(err, ErrTrimmed) {
 		return
 	}
 	s.mu.Lock()
-	was, known := s.storeOK[topic]
-	s.storeOK[topic] = err == nil
+	was, known := s.storeOK[feed]
+	s.storeOK[feed] = err == nil
 	age := s.view.Age()
 	s.mu.Unlock()
 	switch {
 	case err == nil && (!known || !was):
-		s.log.Info("store reached", telemetry.Fields{"topic": topic})
+		s.log.Info("store reached", telemetry.Fields{"topic": feed})
 	case err != nil && (!known || was):
-		s.log.Warn("store lost", telemetry.Fields{"topic": topic, "error": err.Error(), "config_age_ms": age.Milliseconds()})
+		s.log.Warn("store lost", telemetry.Fields{"topic": feed, "error": err.Error(), "config_age_ms": age.Milliseconds()})
 	}
 }
 
