pkg/retry: retries earned by traffic are counted over a window

An instance's bucket holds its share of the fixed allowance (6 retries of 6 instances, 1 of 295), so what steady traffic had earned was discarded, and a lost group fails more streams together than that. Change: with a Window, up to Ratio times the first attempts of any window may be retried, besides the bucket.

--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -221,6 +221,7 @@
 		Burst:          max(slack/2, 1),
 		InitialRetries: slack / 5,
 		MinPerSecond:   slack / 2 / s.RetryWindow.Seconds(),
+		Window:         s.RetryWindow,
 		Share:          i.share,
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -15,6 +15,11 @@
 // Budget is a token bucket that limits retries to a fraction of the first attempts.
 // The zero value is ready to use. It is safe for concurrent use.
 //
+// With a Window, first attempts add nothing to the bucket. Instead, in any window up to
+// Ratio times the first attempts in it are allowed, besides what is in the bucket. So
+// the retries that steady traffic has earned are there at once when a backend server
+// fails many requests together, which a small share of Burst would not allow.
+//
 // Processes that share one allowance each have a Budget with the whole allowance
 // and a Share. Ratio isn't divided, since each process counts its own first attempts.
 type Budget struct {
@@ -22,6 +27,9 @@
 	MinPerSecond   float64 // retries added each second; 0 means DefaultMinPerSecond, a negative value none
 	Burst          float64 // capacity of the bucket in retries; 0 means DefaultBurst
 	InitialRetries float64 // retries in the bucket before the first request
+	// Window is the time over which the retries that first attempts allow are counted. 0
+	// means that first attempts fill the bucket.
+	Window time.Duration
 	// Share returns the fraction, from 0 to 1, of MinPerSecond, Burst and the initial
 	// retries that belongs to this budget now. It is called at each use. While it is
 	// 0, only first attempts add retries. A share above all earlier ones adds the
@@ -34,6 +42,8 @@
 	lastRefill   time.Time
 	share        float64 // result of the last call of Share
 	initialShare float64 // fraction of the initial retries that was added
+	firsts       slidingCount
+	earned       slidingCount // retries that first attempts allowed, not the bucket
 }
 
 // RecordFirst records a first attempt.
@@ -41,6 +51,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
+	if b.Window > 0 {
+		b.firsts.add(now, b.Window)
+		return
+	}
 	b.addTokens(orDefault(b.Ratio, DefaultRatio))
 }
 
@@ -49,13 +63,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1 {
+	switch {
+	case b.hasEarned(now):
+		b.earned.add(now, b.Window)
+	case b.tokens >= 1:
+		b.tokens--
+	default:
 		return false
 	}
-	b.tokens--
 	return true
 }
 
+// hasEarned reports whether the first attempts of the last window allow a retry.
+func (b *Budget) hasEarned(now time.Time) bool {
+	if b.Window <= 0 {
+		return false
+	}
+	allowed := orDefault(b.Ratio, DefaultRatio) * float64(b.firsts.atLeast(now, b.Window))
+	return float64(b.earned.atMost(now, b.Window)+1) <= allowed
+}
+
 // refund puts back a retry that was taken but not made.
 func (b *Budget) refund() {
 	b.mu.Lock()
@@ -70,7 +97,7 @@
 	defer b.mu.Unlock()
 	b.refill(now)
 	missing := 1 - b.tokens
-	if missing <= 0 {
+	if missing <= 0 || b.hasEarned(now) {
 		return 0
 	}
 	rate := b.refillRate()
