internal/neighbour: relays for large deployments; pkg/dispatch: instances spread their requests

Cause: with 295 instances each sent its whole digest 10 times a second to 58 others and a third as often to 236 more: some 400,000 datagrams a second, each of which was decoded, added to the sum of all peers' loads and sorted for the keeper's choice. And all instances chose the place that was least loaded some 400 ms ago, the first by name where several were. Change: beyond 16 peers the keeper of each data centre is its relay: members send to it alone, and it sends one digest for all of them (loads summed without the receiver's, heads' states united, the receiver's echo, the other relays' digests, places only when they change or once a second). Without a relay, members send to the first in the order of ranks, to more of them each second, and the first that is alive claims; later ones wait longer. Registered addresses carry the data centre in their key. The number of processes comes from the relays. What a keeper's word replaces lasts 0.6 of the bounds on draining and on configuration instead of 1.2 s, and at the start members of a large deployment wait for it instead of reading all entries. About 10 instances probe a head that its keeper can't reach, not all. Places: each instance adds to a place's score its own preference for it, weighted by what peers place before they are heard; by that, places are chosen in proportion to their free slots, and by one instance always the same ones first. Peers' loads are added up incrementally. TestRelays: one keeper a data centre and the same places, loads and counts at all, with losses, kills, cuts and restarts; under 12 datagrams a second for each instance.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -118,7 +118,7 @@
 	if s := newSoundServer(t); kind != catalog.Unsafe {
 		places = append(places, dispatch.Place{ID: "sound", Service: "s", DataCentre: "far", Address: s.Listener.Addr().String(), Slots: 4})
 	}
-	g.Places.Set(places, 1)
+	g.Places.Set(places, gateway.Peers{Count: 1})
 	f.Server = httptest.NewServer(g)
 	t.Cleanup(f.Close)
 	t.Cleanup(cancel)
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -125,13 +125,19 @@
 	p.scheduler.AvoidUntil(id, time.Now().Add(d))
 }
 
-// Set replaces the places. instances is the number of processes that share the
-// request rate of a cold place.
-func (p *Places) Set(places []dispatch.Place, instances int) {
+// Peers describes the processes that send requests to the same places.
+type Peers struct {
+	Instance string        // name of this process
+	Count    int           // processes, with this one, that share the request rate of a cold place
+	Lag      time.Duration // how old their loads may be that this process knows
+}
+
+// Set replaces the places and what is known of the processes that use them too.
+func (p *Places) Set(places []dispatch.Place, peers Peers) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.scheduler.Instances = instances
+	p.scheduler.Instance, p.scheduler.Instances, p.scheduler.PeerLag = peers.Instance, peers.Count, peers.Lag
 	p.scheduler.SetPlaces(now, places)
 	p.dispatchWaiting(now)
 }
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorystall/chicorystall/internal/exchange"
@@ -30,25 +32,27 @@
 	refusalLogInterval = 10 * time.Second
 )
 
-// stalledOf returns the heads whose streams make no progress at the sender of a digest.
-func stalledOf(d neighbour.Digest) []string { return d.StalledHeads }
-
-// activeOf returns the heads that have sent to the sender of a digest or answered it.
-func activeOf(d neighbour.Digest) []string { return slices.Concat(d.ProgressingHeads, d.ReachedHeads) }
+// isStalled reports whether this instance or a peer observes that the streams of a head
+// make no progress.
+func (i *instance) isStalled(id string) bool {
+	return slices.Contains(i.gateway.Progress.Stalled(), id) ||
+		i.exchanger.AnyRecent(func(d *neighbour.Digest) bool { return slices.Contains(d.StalledHeads, id) })
+}
 
-// reportedByAny reports whether a head is in own, the heads that this instance itself
-// observed, or among those that headsOf returns from the recent digest of a peer.
-func (i *instance) reportedByAny(id string, own []string, headsOf func(neighbour.Digest) []string) bool {
-	if slices.Contains(own, id) {
-		return true
-	}
-	return slices.ContainsFunc(i.exchanger.RecentDigests(), func(d neighbour.Digest) bool { return slices.Contains(headsOf(d), id) })
+// isActive reports whether a head has lately sent to this instance or a peer, or answered
+// it.
+func (i *instance) isActive(id string) bool {
+	return slices.Contains(i.gateway.Progress.Moving(time.Now()), id) ||
+		i.exchanger.AnyRecent(func(d *neighbour.Digest) bool {
+			return slices.Contains(d.ProgressingHeads, id) || slices.Contains(d.ReachedHeads, id)
+		})
 }
 
 // digest returns the digest that this instance sends to its peers. A keeper adds
 // the places of its data centre and what it has read from the store.
 func (i *instance) digest() neighbour.Digest {
 	d := neighbour.Digest{
+		Acting:           i.isKeeper(),
 		Leaving:          i.stopping(),
 		Served:           i.gateway.Served(),
 		StalledHeads:     i.gateway.Progress.Stalled(),
@@ -70,7 +74,7 @@
 	d.StoreUnreachable = i.storeUnreachable()
 	layout := i.layout()
 	listAge := layout.Now - layout.List.LastRead().At
-	if layout.Heads != nil && listAge < maxRelayAge && !layout.List.HasLapsed() {
+	if layout.Heads != nil && listAge < i.settings.relayAge() && !layout.List.HasLapsed() {
 		d.Keeper, d.ListAge = true, listAge.Milliseconds()+1
 		d.ListEnd, d.ListSince = layout.List.LastRead().End, layout.List.FollowedFrom()
 		for _, g := range layout.List.RecentDepartures(layout.Now) {
@@ -116,7 +120,13 @@
 	for _, l := range d.Load {
 		loads[l.Place] = dispatch.Load{Running: l.Running, PromptTokens: l.Reading}
 	}
-	i.gateway.Places.SetPeerLoads(d.Instance, loads)
+	switch {
+	case d.Relay && d.Load == nil && d.DataCentre != i.settings.DataCentre: // left out
+	case d.Relay:
+		i.gateway.Places.SetPeerLoads("relay of "+d.DataCentre, loads)
+	default:
+		i.gateway.Places.SetPeerLoads(d.Instance, loads)
+	}
 	if !d.Keeper {
 		return
 	}
@@ -175,10 +185,10 @@
 }
 
 // announcedRecently reports whether a data centre's places were announced from a
-// list that a keeper has read within maxRelayAge.
+// list that a keeper has read within relayAge.
 func (i *instance) announcedRecently(dataCentre string) bool {
 	announcement, ok := i.state.List().Announcement(dataCentre)
-	return ok && i.state.clock()-announcement.At < maxRelayAge
+	return ok && i.state.clock()-announcement.At < i.settings.relayAge()
 }
 
 // workersRelayed reports whether keepers announce all data centres, so that this
@@ -248,7 +258,7 @@
 			return p.ColdRate > 0 && now.Before(p.ColdUntil)
 		})
 	}
-	i.gateway.Places.Set(places, i.exchanger.ProcessCount())
+	i.gateway.Places.Set(places, gateway.Peers{Instance: i.settings.Name, Count: i.exchanger.ProcessCount(), Lag: i.exchanger.MaxLag()})
 }
 
 // refreshPlaces periodically rebuilds the places and closes idle connections that are
@@ -276,8 +286,12 @@
 	for ctx.Err() == nil {
 		sleep(ctx, probeInterval)
 		var group errgroup.Group
+		processes := i.exchanger.ProcessCount()
 		for _, d := range i.exchanger.RecentDigests() {
 			for _, head := range unreachableHeads(d) {
+				if !probes(i.settings.Name, head.ID, processes) {
+					continue
+				}
 				group.Go(func() error {
 					i.probeHead(ctx, head)
 					return nil
@@ -310,6 +324,15 @@
 	return heads
 }
 
+// probers is about how many instances probe a head that doesn't answer its keeper.
+const probers = 10
+
+// probes reports whether an instance is among those that probe a head.
+func probes(instance, head string, processes int) bool {
+	draw := float64(xxhash.Sum64String(instance+"/"+head)) / math.MaxUint64
+	return draw*float64(processes) < probers
+}
+
 func (i *instance) probeHead(ctx context.Context, head roster.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -116,8 +115,11 @@
 	defer stopServing()
 	group, groupCtx := errgroup.WithContext(serveCtx)
 	group.Go(func() error { return i.state.WatchOperator(groupCtx) })
-	group.Go(func() error { return i.state.WatchWorkers(groupCtx) })
 	group.Go(func() error { return i.discoverInstances(groupCtx) })
+	group.Go(func() error {
+		i.awaitRelay(groupCtx)
+		return i.state.WatchWorkers(groupCtx)
+	})
 	group.Go(func() error { return i.exchanger.Run(groupCtx) })
 	group.Go(func() error { return i.keeper.Run(groupCtx) })
 	group.Go(func() error { return i.gateway.Places.Run(groupCtx) })
@@ -157,7 +159,7 @@
 		refusalLoggedAt: map[neighbour.Refusal]time.Time{},
 		stopping:        func() bool { return ctx.Err() != nil },
 	}
-	i.state = NewState(i.platform, settings.HeartbeatInterval, i.log, i.isKeeper, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
+	i.state = NewState(i.platform, settings, i.log, i.isKeeper, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
 		func() int { return i.exchanger.ProcessCount() }, func() { i.rebuildPlaces() })
 	i.exchanger = &neighbour.Exchanger{
 		Instance: settings.Name, DataCentre: settings.DataCentre, DataCentres: settings.DataCentres,
@@ -190,8 +192,8 @@
 		Acting: i.isKeeper, List: i.state.Roster, Engine: i.engine,
 		TakenOut:       func() bool { return i.state.TakenOut(settings.DataCentre) },
 		DataCentres:    i.dataCentres,
-		HeadStalled:    func(id string) bool { return i.reportedByAny(id, i.gateway.Progress.Stalled(), stalledOf) },
-		HeadResponding: func(id string) bool { return i.reportedByAny(id, i.gateway.Progress.Moving(time.Now()), activeOf) },
+		HeadStalled:    i.isStalled,
+		HeadResponding: i.isActive,
 		Serving:        i.hasClientRequests,
 		Utilization: func(model string) float64 {
 			service, _ := i.engine()
@@ -297,7 +299,7 @@
 	if groupsOpen || i.gateway.Served() {
 		return true
 	}
-	return slices.ContainsFunc(i.exchanger.RecentDigests(), func(d neighbour.Digest) bool { return d.Served })
+	return i.exchanger.AnyRecent(func(d *neighbour.Digest) bool { return d.Served })
 }
 
 func (i *instance) ready() bool {
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -26,6 +26,7 @@
 
 	GracePeriod        time.Duration // time between SIGTERM and SIGKILL
 	MaxConfigDelay     time.Duration // time within which a new configuration must be in force
+	MaxDrainDelay      time.Duration // time within which requests to a leaving backend server must stop
 	MaxRevocationDelay time.Duration // time after which requests with a removed key must be rejected
 	RetryRatio         float64       // retries that the deployment may send per request
 	RetryWindow        time.Duration // period over which RetryRatio is computed
@@ -35,3 +36,11 @@
 	// is not written for three of these periods lapses and is removed.
 	HeartbeatInterval time.Duration
 }
+
+// relayAge returns the age up to which what a keeper has read replaces an own read. It
+// is a share of the bounds that a keeper's silence must not break: the rest is for an own
+// read after that.
+func (s Settings) relayAge() time.Duration {
+	const share = 0.6
+	return max(maxRelayAge, time.Duration(share*float64(min(s.MaxDrainDelay, s.MaxConfigDelay))))
+}
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -22,7 +22,7 @@
 	// recoveryReadWait replaces both while entries are kept that lapsed during an
 	// outage of the store.
 	recoveryReadWait = 200 * time.Millisecond
-	// maxRelayAge is the age up to which what a keeper has read replaces an own read.
+	// maxRelayAge is the least value of Settings.relayAge.
 	maxRelayAge = 1200 * time.Millisecond
 	// relayCheckInterval is how often an instance that relies on keepers checks
 	// whether it must read the store itself.
@@ -67,6 +67,7 @@
 	repairing      func() bool // whether groups are forming
 	workersRelayed func() bool // whether keepers announce all data centres
 	processes      func() int  // number of known instances
+	relayAge       time.Duration
 	// clock is boottime.Now, except in tests.
 	clock func() time.Duration
 
@@ -85,12 +86,12 @@
 }
 
 // NewState returns an empty state. WatchOperator and WatchWorkers keep it up to date.
-func NewState(platform Platform, heartbeat time.Duration, log *telemetry.Log, isKeeper, repairing, workersRelayed func() bool, processes func() int, onChange func()) *State {
+func NewState(platform Platform, settings Settings, log *telemetry.Log, isKeeper, repairing, workersRelayed func() bool, processes func() int, onChange func()) *State {
 	return &State{
 		platform: platform, log: log, isKeeper: isKeeper, repairing: repairing, workersRelayed: workersRelayed, processes: processes, onChange: onChange,
-		clock: boottime.Now,
+		clock: boottime.Now, relayAge: settings.relayAge(),
 		list: listing.New(listing.Rules{
-			OutageThreshold: lapseHeartbeats * heartbeat, Grace: lapseGrace, MaxAnnouncementAge: maxRelayAge, AgeTolerance: neighbour.Interval,
+			OutageThreshold: lapseHeartbeats * settings.HeartbeatInterval, Grace: lapseGrace, MaxAnnouncementAge: settings.relayAge(), AgeTolerance: neighbour.Interval,
 		}),
 		operatorOffsets: map[string]int64{}, unreadable: map[string]int64{}, takenOut: map[string]bool{}, storeReachable: map[string]bool{},
 	}
@@ -113,7 +114,7 @@
 // WatchOperator follows the feed of operator's records until the context ends.
 func (s *State) WatchOperator(ctx context.Context) error {
 	return s.watch(ctx, watcher{
-		feed: s.platform.OperatorFeed, apply: s.applyOperator, relayed: s.operatorRelayed,
+		feed: s.platform.OperatorFeed, apply: s.applyOperator, relayed: s.operatorRelayed, readsFirst: true,
 		pause: func() time.Duration { return operatorPause },
 	})
 }
@@ -131,7 +132,7 @@
 	return maxReadWait
 }
 
-// operatorRelayed reports whether a keeper has proved within maxRelayAge that this
+// operatorRelayed reports whether a keeper has proved within relayAge that this
 // instance knows all operator's records.
 func (s *State) operatorRelayed() bool {
 	if s.isKeeper() {
@@ -139,7 +140,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.operatorEnd >= s.relayedEnd && s.relayedProof > 0 && s.clock()-s.relayedProof < maxRelayAge
+	return s.operatorEnd >= s.relayedEnd && s.relayedProof > 0 && s.clock()-s.relayedProof < s.relayAge
 }
 
 // ApplyKeeperProof records that a keeper has read all operator's records, which end
--- a/internal/instance/state_test.go
+++ b/internal/instance/state_test.go
@@ -28,7 +28,7 @@
 			return roster.Server{ID: id, Service: string(data)}, nil
 		},
 	}
-	return NewState(platform, testHeartbeat, nil, never, never, never, func() int { return 1 }, onChange)
+	return NewState(platform, Settings{HeartbeatInterval: testHeartbeat}, nil, never, never, never, func() int { return 1 }, onChange)
 }
 
 func config(version int64, offset int64) []Record {
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -28,6 +28,8 @@
 	apply func(batch)
 	// relayed reports whether keepers' digests replace reads of the feed for now.
 	relayed func() bool
+	// readsFirst is set if the feed is read once in any case.
+	readsFirst bool
 }
 
 // watch follows a feed until the context ends. It first reads the newest record
@@ -38,7 +40,7 @@
 	pause, failed := retryPause, false
 	pacing := pacer{}
 	for ctx.Err() == nil {
-		if next >= 0 && w.relayed() {
+		if (next >= 0 || !w.readsFirst) && w.relayed() {
 			sleep(ctx, relayCheckInterval)
 			continue
 		}
--- a/internal/measure/endless.go
+++ b/internal/measure/endless.go
@@ -133,7 +133,7 @@
 			Refusal: func(http.Header, string) {},
 		},
 	}
-	g.Places.Set(places, 1)
+	g.Places.Set(places, gateway.Peers{Count: 1})
 	return g
 }
 
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -96,6 +96,8 @@
 	switch {
 	case d.Started <= 0 || d.Started > now.Add(maxClockSkew).UnixMilli(), d.Seq == 0 || d.Seq > maxSeq:
 		return newRefusal(OutOfRange, "start time %d ms or sequence number %d is out of range", d.Started, d.Seq)
+	case !isValidCount(d.Processes):
+		return newRefusal(OutOfRange, "%d processes are out of range", d.Processes)
 	case !isValidAge(d.ListAge), !isValidAge(d.OperatorAge), d.OperatorEnd < 0, d.ListEnd < 0, d.ListSince < 0:
 		return newRefusal(OutOfRange, "list age %d ms, operator record age %d ms, operator record end %d, or list offsets are out of range", d.ListAge, d.OperatorAge, d.OperatorEnd)
 	}
@@ -129,6 +131,9 @@
 	for range d.allPlaces() {
 		n++
 	}
+	for i := range d.Relayed {
+		n += 1 + d.Relayed[i].entryCount()
+	}
 	return n
 }
 
@@ -154,6 +159,9 @@
 func (d *Digest) stringBytes() int {
 	n := 0
 	d.eachString(func(s string) bool { n += len(s); return true })
+	for i := range d.Relayed {
+		n += d.Relayed[i].stringBytes()
+	}
 	return n
 }
 
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -10,6 +10,10 @@
 // can't decode a digest.
 const digestVersion = 1
 
+// relayVersion is the version of a relay's digest. Older releases refuse it, since they
+// would take places that are left out for removed.
+const relayVersion = 2
+
 // Digest is the state that an instance periodically sends to its peers.
 type Digest struct {
 	Version    int    `cbor:"1,keyasint"`
@@ -60,10 +64,25 @@
 	OperatorEnd int64  `cbor:"15,keyasint,omitempty"`
 	OperatorAge int64  `cbor:"16,keyasint,omitempty"`
 	Echoes      []Echo `cbor:"17,keyasint,omitempty"`
+	// Relay is set by the relay of a data centre. Its digest is for all instances there
+	// that it hears: Load is the sum of theirs without the receiver's, and the lists of
+	// heads hold what any of them observed.
+	Relay bool `cbor:"25,keyasint,omitempty"`
+	// Processes is the number of processes in the relay's data centre.
+	Processes int `cbor:"26,keyasint,omitempty"`
+	// Relayed holds the last digests of the other relays.
+	Relayed []Digest `cbor:"27,keyasint,omitempty"`
+	// PlacesVersion identifies Places, which a relay leaves out of most digests while
+	// they stay the same. HasPlaces is set if it did not. Both are 0 in other digests.
+	PlacesVersion uint64 `cbor:"28,keyasint,omitempty"`
+	HasPlaces     bool   `cbor:"29,keyasint,omitempty"`
 
 	// BufferedFor is how long the digest waited in the receiver's socket buffer, for example
 	// because the receiving process was stopped. It is not encoded.
 	BufferedFor time.Duration `cbor:"-"`
+	// Acting is set by the instance that is the keeper, also while it can't say which
+	// places there are. It is not encoded.
+	Acting bool `cbor:"-"`
 }
 
 // Load is the load that an instance puts on a place.
@@ -116,6 +135,9 @@
 // that decode accepts.
 func encode(d Digest) ([]byte, error) {
 	d.Version = digestVersion
+	if d.Relay {
+		d.Version = relayVersion
+	}
 	for i, p := range d.Places {
 		d.Places[i] = p.clamp()
 	}
@@ -136,8 +158,20 @@
 	if err := decMode.Unmarshal(data, &d); err != nil {
 		return Digest{}, newRefusal(Unreadable, "can't decode datagram: %v", err)
 	}
-	if d.Version != digestVersion {
+	if d.Version != digestVersion && d.Version != relayVersion {
 		return Digest{}, newRefusal(Unreadable, "unknown version %d", d.Version)
 	}
-	return d, d.check(now)
+	if err := d.check(now); err != nil {
+		return Digest{}, err
+	}
+	for i := range d.Relayed {
+		r := &d.Relayed[i]
+		if len(r.Relayed) > 0 || !r.Relay {
+			return Digest{}, newRefusal(Unreadable, "relayed digest of instance %q is not a relay's own", r.Instance)
+		}
+		if err := r.check(now); err != nil {
+			return Digest{}, err
+		}
+	}
+	return d, nil
 }
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -20,11 +20,6 @@
 const (
 	// Interval is the time between two digests of an instance.
 	Interval = 100 * time.Millisecond
-	// otherDataCentreFactor is how many times less often instances of other data
-	// centres get a digest once more than fullRatePeers instances are known.
-	// Traffic between data centres costs more, and digests matter less there.
-	otherDataCentreFactor = 3
-	fullRatePeers         = 16
 	// sentHistory is the number of digests whose send times are kept. It covers
 	// several seconds.
 	sentHistory = 64
@@ -71,15 +66,32 @@
 
 	mu          sync.Mutex
 	peers       map[netip.Addr]*peer
-	digestBytes int // memory of the last digests of all peers
+	places      map[string]cachedPlaces // by relay
+	ownTurns    placesTurns
+	relaying    bool                    // this instance sends as a relay
+	relaySince  time.Time               // when that began
+	relayHeard  map[string]time.Time    // when a relay of a data centre was last heard
+	lowerHeard  time.Time               // when an instance was last heard that precedes this one as keeper
+	processes   map[string]relayedCount // by data centre
+	digestBytes int                     // memory of the last digests of all peers
 	seq         uint64
 	sendTimes   [sentHistory]time.Duration // send times on the clock of package boottime, indexed by sequence number modulo sentHistory
 }
 
+// relayedCount is the number of processes that a relay reported.
+type relayedCount struct {
+	count      int
+	receivedAt time.Time
+}
+
 // peer is another instance, identified by its address.
 type peer struct {
 	address         netip.Addr
-	listed          bool // in the settings or by the platform, rather than known only from its digests
+	instance        string      // name as registered or from its digests; empty if not known
+	dataCentre      string      // likewise
+	rank            uint64      // keeperRank of the two
+	turns           placesTurns // of its digests, when they are relayed
+	listed          bool        // in the settings or by the platform, rather than known only from its digests
 	lastDigest      Digest
 	lastDigestBytes int       // memory of lastDigest
 	receivedAt      time.Time // time of lastDigest; zero if none was received
@@ -91,6 +103,13 @@
 	pendingRun      Echo  // last digest of another run that is not accepted yet
 }
 
+// setName sets the name and data centre of the peer.
+func (p *peer) setName(instance, dataCentre string) {
+	if p.instance != instance || p.dataCentre != dataCentre {
+		p.instance, p.dataCentre, p.rank = instance, dataCentre, keeperRank(dataCentre, instance)
+	}
+}
+
 // accepts reports whether a digest is newer than the last one accepted from its
 // instance. If the instance's clock was set back before a restart, the new run
 // has an earlier start time than the previous one. Such a run is accepted at its
@@ -111,11 +130,19 @@
 }
 
 // Add adds an instance that the settings or the platform list.
-func (x *Exchanger) Add(address netip.Addr) {
+func (x *Exchanger) Add(address netip.Addr) { x.AddNamed(address, "", "") }
+
+// AddNamed is like Add for an instance whose name and data centre are known.
+func (x *Exchanger) AddNamed(address netip.Addr, instance, dataCentre string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if p := x.addPeer(address); p != nil {
-		p.listed = true
+	p := x.addPeer(address)
+	if p == nil {
+		return
+	}
+	p.listed = true
+	if p.receivedAt.IsZero() && instance != "" {
+		p.setName(instance, dataCentre)
 	}
 }
 
@@ -199,10 +226,28 @@
 	if becameReachable && x.OnReachabilityChange != nil {
 		x.OnReachabilityChange(d.Instance, d.DataCentre, true)
 	}
-	x.OnDigest(d)
+	for _, d := range x.acceptedDigests(from) {
+		x.OnDigest(d)
+	}
 	return nil
 }
 
+// acceptedDigests returns the last digest from an address and those that it relays,
+// without the loads that another digest has too.
+func (x *Exchanger) acceptedDigests(from netip.Addr) []Digest {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peers[from]
+	if p == nil {
+		return nil
+	}
+	d := p.lastDigest
+	if !x.countsLoads(d) {
+		d.Load = nil
+	}
+	return append([]Digest{d}, d.Relayed...)
+}
+
 // allowsDataCentre reports whether digests may come from the data centre or describe
 // it.
 func (x *Exchanger) allowsDataCentre(dataCentre string) bool {
@@ -242,7 +287,10 @@
 	}
 	p = x.addPeer(from)
 	becameReachable = !p.reachable
+	x.fillPlaces(&d, now)
+	x.noteRelays(d, now)
 	p.lastDigest, p.receivedAt, p.reachable, p.presumedEnded = d, now, true, false
+	p.setName(d.Instance, d.DataCentre)
 	p.newestStart, p.pendingRun = max(p.newestStart, d.Started), Echo{}
 	p.lastDigestBytes = size
 	x.digestBytes += size - previousSize
@@ -260,9 +308,11 @@
 	}
 }
 
-// sendDigests sends a digest in each Interval until ctx is done.
+// sendDigests sends a digest in each Interval until ctx is done, or in each
+// relayInterval while there are relays.
 func (x *Exchanger) sendDigests(ctx context.Context, conn *net.UDPConn) error {
-	ticker := time.NewTicker(Interval)
+	interval := Interval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -271,12 +321,34 @@
 		case <-ticker.C:
 		}
 		x.sendDigest(conn, time.Now())
+		if next := x.interval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 	}
 }
 
+// interval returns the time between two digests of this instance.
+func (x *Exchanger) interval() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.usesRelays() {
+		return relayInterval
+	}
+	return Interval
+}
+
 // sendDigest sends one digest to all reachable instances, and to the unreachable
-// ones at a lower rate.
+// ones at a lower rate. If there are relays, it goes only to some of them.
 func (x *Exchanger) sendDigest(conn *net.UDPConn, now time.Time) {
+	for _, m := range x.nextDatagrams(now) {
+		// Errors are ignored: a peer counts as unreachable when its digests stop.
+		_, _ = conn.WriteToUDPAddrPort(m.data, netip.AddrPortFrom(m.to, x.Listen.Port()))
+	}
+}
+
+// nextDatagrams returns the datagrams of the next digest.
+func (x *Exchanger) nextDatagrams(now time.Time) []datagram {
 	// The send times of the echoed digests bound the ages in this digest, so the echoes
 	// must be collected before the ages are computed.
 	echoes := x.echoes()
@@ -289,37 +361,69 @@
 	x.seq++
 	d.Seq = x.seq
 	x.sendTimes[d.Seq%sentHistory] = boottime.Now()
-	var targets []netip.Addr
+	unreachable := x.updateReachable(now)
+	x.removeStale(now, removeAfter)
+	var datagrams []datagram
+	if x.usesRelays() {
+		datagrams = x.relayDatagrams(d, now)
+	} else {
+		datagrams = x.meshDatagrams(d, now)
+	}
+	x.mu.Unlock()
+	for _, last := range unreachable {
+		if x.OnReachabilityChange != nil {
+			x.OnReachabilityChange(last.Instance, last.DataCentre, false)
+		}
+	}
+	return datagrams
+}
+
+// datagram is an encoded digest and the address that it is sent to.
+type datagram struct {
+	to   netip.Addr
+	data []byte
+}
+
+// updateReachable marks the peers whose digests have stopped as unreachable and returns
+// the last digests of those for which this is news. The caller holds the lock.
+func (x *Exchanger) updateReachable(now time.Time) []Digest {
 	var unreachable []Digest
 	for _, p := range x.peers {
-		if p.reachable && now.Sub(p.receivedAt) > reachableFor {
-			p.reachable = false
+		if !p.reachable || now.Sub(p.receivedAt) <= reachableFor {
+			continue
+		}
+		p.reachable = false
+		// A member that has found a relay sends its digests only there.
+		if x.relaying || p.lastDigest.Relay || !x.usesRelays() {
 			unreachable = append(unreachable, p.lastDigest)
 		}
+	}
+	return unreachable
+}
+
+// meshDatagrams returns the datagrams of a digest for all instances. The caller holds
+// the lock.
+func (x *Exchanger) meshDatagrams(d Digest, now time.Time) []datagram {
+	data, ok := encodeFitting(d)
+	if !ok {
+		return nil
+	}
+	var datagrams []datagram
+	for _, p := range x.peers {
 		if !p.reachable && now.Sub(p.lastSentAt) < unreachableInterval && now.Sub(p.addedAt) > unreachableInterval {
 			continue
 		}
-		if p.reachable && p.lastDigest.DataCentre != x.DataCentre && len(x.peers) > fullRatePeers && d.Seq%otherDataCentreFactor != 0 {
-			continue
-		}
 		p.lastSentAt = now
-		targets = append(targets, p.address)
-	}
-	x.removeStale(now, removeAfter)
-	x.mu.Unlock()
-	for _, last := range unreachable {
-		if x.OnReachabilityChange != nil {
-			x.OnReachabilityChange(last.Instance, last.DataCentre, false)
-		}
+		datagrams = append(datagrams, datagram{to: p.address, data: data})
 	}
+	return datagrams
+}
+
+// encodeFitting encodes a digest and reports whether it fits into a datagram. Digests are
+// best effort; if one does not fit, the next one may.
+func encodeFitting(d Digest) ([]byte, bool) {
 	data, err := encode(d)
-	if err != nil || len(data) > maxDigestBytes {
-		return // digests are best effort; the next one may fit
-	}
-	for _, address := range targets {
-		// Errors are ignored: a peer counts as unreachable when its digests stop.
-		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, x.Listen.Port()))
-	}
+	return data, err == nil && len(data) <= maxDigestBytes
 }
 
 // echoes returns an echo of the last digest of each reachable instance of the data
@@ -356,77 +460,32 @@
 
 // RecentDigests returns the last digests of the reachable instances, sorted by instance.
 func (x *Exchanger) RecentDigests() []Digest {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := time.Now()
 	var digests []Digest
-	for _, p := range x.peers {
-		if p.reachable && now.Sub(p.receivedAt) <= reachableFor {
-			digests = append(digests, p.lastDigest)
-		}
-	}
+	x.AnyRecent(func(d *Digest) bool {
+		digests = append(digests, *d)
+		return false
+	})
 	slices.SortFunc(digests, func(a, b Digest) int { return cmp.Compare(a.Instance, b.Instance) })
 	return digests
 }
 
-// ProcessCount returns the number of processes that may be sending requests,
-// including this one.
-func (x *Exchanger) ProcessCount() int {
+// AnyRecent reports whether a function returns true for the last digest of any reachable
+// instance. It calls the function with a lock held, which must not change the digest.
+func (x *Exchanger) AnyRecent(matches func(*Digest) bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.markEnded(time.Now())
-	count := 1
-	for _, p := range x.peers {
-		if !p.presumedEnded {
-			count++
-		}
-	}
-	return count
-}
-
-// markEnded marks the instances that have sent no digest for countedFor as ended.
-// If this instance receives no digests from most of the others, it may itself be
-// cut off while they still run. It then marks only those that announced that they
-// are leaving. The caller holds the lock.
-func (x *Exchanger) markEnded(now time.Time) {
-	known, reachable := 1, 1 // this instance
-	for _, p := range x.peers {
-		if p.presumedEnded || p.receivedAt.IsZero() {
-			continue
-		}
-		known++
-		if now.Sub(p.receivedAt) <= reachableFor {
-			reachable++
-		}
-	}
+	now := time.Now()
 	for _, p := range x.peers {
-		if now.Sub(p.receivedAt) < countedFor || now.Sub(p.addedAt) < countedFor {
-			continue
-		}
-		if p.receivedAt.IsZero() {
-			p.presumedEnded = p.presumedEnded || reachable > 1 // the address may belong to a machine that no longer exists
-			continue
+		if p.isRecent(now) && matches(&p.lastDigest) {
+			return true
 		}
-		p.presumedEnded = p.presumedEnded || p.lastDigest.Leaving || 2*reachable > known
 	}
+	return false
 }
 
-// IsKeeper reports whether this instance is the keeper: the one among the
-// reachable instances of its data centre that manages its groups. storeUnreachable
-// says whether this instance has not reached the platform's store for a while. The
-// keeper is the instance with the lowest rank among those that have reached the
-// store, or among all if none has. Instances that receive each other's digests agree
-// on the keeper.
-func (x *Exchanger) IsKeeper(storeUnreachable bool) bool {
-	ownRank := keeperRank(x.DataCentre, x.Instance)
-	for _, d := range x.RecentDigests() {
-		switch {
-		case d.DataCentre != x.DataCentre || d.Leaving || d.StoreUnreachable && !storeUnreachable:
-		case storeUnreachable && !d.StoreUnreachable, keeperRank(x.DataCentre, d.Instance) < ownRank:
-			return false
-		}
-	}
-	return true
+// isRecent reports whether a digest of the peer was received within reachableFor.
+func (p *peer) isRecent(now time.Time) bool {
+	return p.reachable && now.Sub(p.receivedAt) <= reachableFor
 }
 
 // keeperRank returns an instance's rank in the choice of the keeper.
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -53,8 +53,10 @@
 // Scheduler assigns requests to places. It holds the places, their loads and the
 // waiting tickets. It is not safe for concurrent use. The zero value has no places.
 type Scheduler struct {
-	Instances  int // instances that share the rate of a cold place; 0 means 1
-	MaxWaiting int // limit of waiting tickets for each service and model; 0 means DefaultMaxWaiting
+	Instance   string        // name of this instance, by which it prefers other places than its peers do
+	Instances  int           // instances that share the rate of a cold place; 0 means 1
+	PeerLag    time.Duration // how old the loads of the peers may be
+	MaxWaiting int           // limit of waiting tickets for each service and model; 0 means DefaultMaxWaiting
 	// Random returns a random number in [0, 1). If it is nil, rand.Float64 is used.
 	Random func() float64
 
@@ -62,6 +64,8 @@
 	byServiceModel map[serviceModel][]*placeState
 	waiting        map[serviceModel][]*Ticket
 	peers          map[string]peerLoads
+	peersExpiredAt time.Time // when expired loads of peers were last removed
+	arrivals       map[serviceModel]*arrivalRate
 	meanRunTimes   map[serviceModel]time.Duration
 	firstEvents    map[serviceModel]*firstEventTimes
 }
@@ -87,7 +91,7 @@
 	for _, next := range places {
 		p := s.places[next.ID]
 		if p == nil {
-			p = &placeState{}
+			p = &placeState{preference: preference(s.Instance, next.ID)}
 			s.places[next.ID] = p
 		}
 		p.Place, p.removed = next, false
@@ -114,29 +118,46 @@
 	if s.peers == nil {
 		s.peers = map[string]peerLoads{}
 	}
+	s.addPeerLoads(s.peers[instance].loads, -1)
 	s.peers[instance] = peerLoads{loads: loads, receivedAt: now}
-	s.sumPeerLoads(now)
+	s.addPeerLoads(loads, 1)
+	if now.Sub(s.peersExpiredAt) >= peerLoadsTimeout/4 {
+		s.expirePeerLoads(now)
+	}
 }
 
-// sumPeerLoads adds up the loads of the peers, without those that have expired.
-func (s *Scheduler) sumPeerLoads(now time.Time) {
-	for _, p := range s.places {
-		p.peerLoad = Load{}
+// addPeerLoads adds loads to those of the places, or removes them if sign is -1.
+func (s *Scheduler) addPeerLoads(loads map[string]Load, sign int) {
+	for id, load := range loads {
+		if p := s.places[id]; p != nil {
+			p.peerLoad.Running += sign * load.Running
+			p.peerLoad.PromptTokens += sign * load.PromptTokens
+		}
 	}
+}
+
+// expirePeerLoads removes the loads of the peers that have sent none for a while.
+func (s *Scheduler) expirePeerLoads(now time.Time) {
+	s.peersExpiredAt = now
 	for instance, r := range s.peers {
 		if now.Sub(r.receivedAt) > peerLoadsTimeout {
+			s.addPeerLoads(r.loads, -1)
 			delete(s.peers, instance)
-			continue
-		}
-		for id, load := range r.loads {
-			if p := s.places[id]; p != nil {
-				p.peerLoad.Running += load.Running
-				p.peerLoad.PromptTokens += load.PromptTokens
-			}
 		}
 	}
 }
 
+// sumPeerLoads adds up the loads of the peers, without those that have expired.
+func (s *Scheduler) sumPeerLoads(now time.Time) {
+	s.expirePeerLoads(now)
+	for _, p := range s.places {
+		p.peerLoad = Load{}
+	}
+	for _, r := range s.peers {
+		s.addPeerLoads(r.loads, 1)
+	}
+}
+
 // OwnLoads returns the load of this instance, by place ID.
 func (s *Scheduler) OwnLoads() map[string]Load {
 	own := make(map[string]Load, len(s.places))
@@ -154,6 +175,13 @@
 		t.Arrived = now
 	}
 	k := serviceModel{t.Service, t.Model}
+	if s.arrivals[k] == nil {
+		if s.arrivals == nil {
+			s.arrivals = map[serviceModel]*arrivalRate{}
+		}
+		s.arrivals[k] = &arrivalRate{}
+	}
+	s.arrivals[k].add(now)
 	d := s.newDecision(k, t)
 	if d.Places == 0 {
 		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonNoPlace, noPlaceRetryAfter
@@ -206,11 +234,12 @@
 func (s *Scheduler) bestPlace(now time.Time, t *Ticket) *placeState {
 	var best *placeState
 	var bestScore float64
+	spread := s.spread(now, t)
 	for _, p := range s.byServiceModel[serviceModel{t.Service, t.Model}] {
 		if !p.free() || now.Before(p.avoidUntil) || t.tried(p.ID) || !s.allowsCold(now, p) {
 			continue
 		}
-		if score := p.score(t, now); best == nil || score < bestScore {
+		if score := p.score(t, now) + p.bias(t, spread); best == nil || score < bestScore {
 			best, bestScore = p, score
 		}
 	}
