--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -18,29 +18,56 @@
 	mu        sync.Mutex
 	scheduler dispatch.Scheduler
 	waiting   map[*dispatch.Ticket]chan dispatch.Decision
+	wake      chan struct{} // receives when a request begins to wait
 }
 
 // NewPlaces returns a Places without any places.
 func NewPlaces() *Places {
-	return &Places{waiting: map[*dispatch.Ticket]chan dispatch.Decision{}}
+	return &Places{waiting: map[*dispatch.Ticket]chan dispatch.Decision{}, wake: make(chan struct{}, 1)}
 }
 
 // Run assigns places to waiting requests, and refuses those that can no longer be
 // served in time, until the context ends.
 func (p *Places) Run(ctx context.Context) error {
-	ticker := time.NewTicker(dispatchInterval)
+	return runWhileNeeded(ctx, dispatchInterval, p.wake, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.waiting) > 0 {
+			p.dispatchWaiting(time.Now())
+		}
+		return len(p.waiting) > 0
+	})
+}
+
+// runWhileNeeded calls check at intervals, from the time at which wake receives until
+// check returns false, and waits for the next wake after that. It returns when the
+// context ends.
+func runWhileNeeded(ctx context.Context, interval time.Duration, wake <-chan struct{}, check func() bool) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
+		ticker.Stop()
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-wake:
 		}
-		p.mu.Lock()
-		if len(p.waiting) > 0 {
-			p.dispatchWaiting(time.Now())
+		ticker.Reset(interval)
+		for needed := true; needed; needed = check() {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
 		}
-		p.mu.Unlock()
+	}
+}
+
+// notifyWake makes a channel with a buffer of one receive, unless it is about to.
+func notifyWake(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -74,6 +101,7 @@
 	decided := make(chan dispatch.Decision, 1)
 	p.waiting[t] = decided
 	p.mu.Unlock()
+	notifyWake(p.wake)
 	select {
 	case d := <-decided:
 		return d, nil
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -39,8 +39,10 @@
 	// progress again. It is called with a lock held.
 	OnStall func(place string, stalled bool, idle time.Duration)
 
-	mu    sync.Mutex
-	heads map[string]*head
+	mu        sync.Mutex
+	heads     map[string]*head
+	wake      chan struct{} // receives when there is a head to check
+	lastCheck time.Time     // of the last check, or when there was a head again
 }
 
 // head is a place with attempts in progress. The plain workers of a service without
@@ -66,6 +68,10 @@
 		if p.heads == nil {
 			p.heads = map[string]*head{}
 		}
+		if len(p.heads) == 0 {
+			p.lastCheck = time.Now()
+			notifyWake(p.wakeChannel())
+		}
 		h = &head{attempts: map[*headAttempt]struct{}{}}
 		p.heads[place] = h
 	}
@@ -85,6 +91,15 @@
 	}
 }
 
+// wakeChannel returns the channel that receives when there is a head to check. The
+// caller holds the lock.
+func (p *Progress) wakeChannel() chan struct{} {
+	if p.wake == nil {
+		p.wake = make(chan struct{}, 1)
+	}
+	return p.wake
+}
+
 // end records that an attempt has ended.
 func (p *Progress) end(place string, a *headAttempt) {
 	p.mu.Lock()
@@ -139,22 +154,21 @@
 // Run checks the heads until the context ends. It calls avoid at each check for
 // each head that must get no new requests.
 func (p *Progress) Run(ctx context.Context, avoid func(place string)) error {
-	ticker := time.NewTicker(progressCheckInterval)
-	defer ticker.Stop()
-	lastCheck := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	p.mu.Lock()
+	wake := p.wakeChannel()
+	p.mu.Unlock()
+	return runWhileNeeded(ctx, progressCheckInterval, wake, func() bool {
 		now := time.Now()
-		p.check(now, now.Sub(lastCheck) > suspendedGap, avoid)
-		lastCheck = now
-	}
+		p.mu.Lock()
+		suspended := now.Sub(p.lastCheck) > suspendedGap
+		p.lastCheck = now
+		p.mu.Unlock()
+		return p.check(now, suspended, avoid)
+	})
 }
 
-func (p *Progress) check(now time.Time, suspended bool, avoid func(place string)) {
+// check checks the heads and reports whether there are any.
+func (p *Progress) check(now time.Time, suspended bool, avoid func(place string)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for place, h := range p.heads {
@@ -179,4 +193,5 @@
 			}
 		}
 	}
+	return len(p.heads) > 0
 }
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -189,7 +189,8 @@
 	}
 	i.keeper = &keeper.Keeper{
 		DataCentre: settings.DataCentre, LoadWindow: settings.LoadWindow, Log: i.log, Metrics: i.metrics,
-		Acting: i.isKeeper, List: i.state.Roster, Engine: i.engine,
+		RestInterval: i.keeperRestInterval,
+		Acting:       i.isKeeper, List: i.state.Roster, Engine: i.engine,
 		TakenOut:       func() bool { return i.state.TakenOut(settings.DataCentre) },
 		DataCentres:    i.dataCentres,
 		HeadStalled:    i.isStalled,
@@ -259,6 +260,16 @@
 	return !i.stopping() && time.Since(i.started) > discoveryTime && i.exchanger.IsKeeper(i.storeUnreachable())
 }
 
+// keeperRestInterval returns how often an instance that is not the keeper checks whether
+// it has become that. Where there are many, the next keeper is chosen slowly anyway.
+func (i *instance) keeperRestInterval() time.Duration {
+	const withRelays, otherwise = 200 * time.Millisecond, 50 * time.Millisecond
+	if i.exchanger.UsesRelays() {
+		return withRelays
+	}
+	return otherwise
+}
+
 // storeUnreachable reports whether this instance has to read the workers' entries
 // from the store itself and has had no answer for storeUnreachableAfter.
 func (i *instance) storeUnreachable() bool {
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -24,9 +24,9 @@
 	recoveryReadWait = 200 * time.Millisecond
 	// maxRelayAge is the least value of Settings.relayAge.
 	maxRelayAge = 1200 * time.Millisecond
-	// relayCheckInterval is how often an instance that relies on keepers checks
-	// whether it must read the store itself.
-	relayCheckInterval = 100 * time.Millisecond
+	// relayCheckShare is the share of relayAge after which an instance that relies on
+	// keepers checks again whether it must read the store itself.
+	relayCheckShare = 12
 	// operatorPause is the pause after a read that returned operator's records, and
 	// workersPause the one after a read that returned workers' entries. The latter
 	// grows with the number of instances, since the store limits the calls of all
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -41,7 +41,7 @@
 	pacing := pacer{}
 	for ctx.Err() == nil {
 		if (next >= 0 || !w.readsFirst) && w.relayed() {
-			sleep(ctx, relayCheckInterval)
+			sleep(ctx, s.relayAge/relayCheckShare)
 			continue
 		}
 		b := batch{began: s.clock(), caughtUp: true, resumed: failed}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -94,6 +94,9 @@
 
 	// Acting reports whether this instance is currently the data centre's keeper.
 	Acting func() bool
+	// RestInterval returns how often an instance that is not the keeper checks whether it
+	// has become that; nil means stepInterval.
+	RestInterval func() time.Duration
 	// List returns the platform's list of workers and when it was read. A worker that
 	// is not listed has either ended or cannot reach the platform.
 	List func() (*roster.Roster, time.Time)
@@ -157,8 +160,16 @@
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	defer k.calls.Wait() // the calls never return errors
-	acting := false
+	acting, interval := false, stepInterval
 	for {
+		next := stepInterval
+		if !acting && k.RestInterval != nil {
+			next = k.RestInterval()
+		}
+		if next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -177,6 +177,7 @@
 func (x *Exchanger) topology(now time.Time, absent func(*peer) bool) topology {
 	t := topology{
 		dataCentre: x.DataCentre, rank: keeperRank(x.DataCentre, x.Instance), relay: x.relaying, tick: x.seq,
+		fresh: x.relaying && now.Sub(x.relaySince) < freshFor,
 		nodes: make([]node, 0, len(x.peers)),
 		noRelay: func(dataCentre string) time.Duration {
 			since := x.relayHeard[dataCentre]
--- a/internal/neighbour/topology.go
+++ b/internal/neighbour/topology.go
@@ -28,6 +28,9 @@
 	// unheardFactor is how many times less often a relay sends to an instance of its
 	// data centre that it doesn't hear.
 	unheardFactor = 5
+	// freshFor is how long a new relay sends each digest also to the instances that it
+	// doesn't hear, since they don't know of it yet.
+	freshFor = 2 * time.Second
 	// processesFor is how long the number of processes counts that a relay reported.
 	processesFor = 10 * time.Second
 )
@@ -48,6 +51,7 @@
 	dataCentre string
 	rank       uint64
 	relay      bool // this instance is the relay of its data centre
+	fresh      bool // it has become that lately
 	tick       uint64
 	nodes      []node
 	// noRelay returns for how long no relay of a data centre was heard.
@@ -69,7 +73,7 @@
 				targets = append(targets, n.address)
 			}
 		case t.relay && n.dataCentre == t.dataCentre:
-			if n.heard || t.tick%unheardFactor == 0 {
+			if n.heard || t.fresh || t.tick%unheardFactor == 0 {
 				targets = append(targets, n.address)
 			}
 		case n.relay:
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -43,7 +43,8 @@
 	runTimeSmoothing  = 0.05        // weight of one request in the moving average of run times
 	minRetryAfter     = 200 * time.Millisecond
 	maxRetryAfter     = 4 * time.Second
-	peerLoadsTimeout  = time.Second // how long the load that a peer reported counts
+	peerLoadsTimeout  = time.Second // how long the load that a peer reported counts at least
+	peerLoadsLags     = 5           // how many times the lag of the peers' loads it counts
 	noPlaceRetryAfter = 2 * time.Second
 )
 
@@ -140,7 +141,7 @@
 func (s *Scheduler) expirePeerLoads(now time.Time) {
 	s.peersExpiredAt = now
 	for instance, r := range s.peers {
-		if now.Sub(r.receivedAt) > peerLoadsTimeout {
+		if now.Sub(r.receivedAt) > max(peerLoadsTimeout, peerLoadsLags*s.PeerLag) {
 			s.addPeerLoads(r.loads, -1)
 			delete(s.peers, instance)
 		}
