internal/neighbour: relays send packed places; the heaviest instance of a data centre is its keeper

Cause: at the start of the large site's traffic a keeper with a link of 20 Mbit/s was not heard for 1 s, 6 instances claimed its role and others read the store: each of its digests had all places at 70 bytes each, 58 times in 200 ms. Instances register a weight (processor and link) and the heaviest becomes the keeper; equal ones are ordered by hash as before. Members wait longer for a relay's word at the start as long as they hear it.

--- a/internal/instance/meeting.go
+++ b/internal/instance/meeting.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/chicorystall/chicorystall/internal/neighbour"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 )
 
@@ -42,41 +44,53 @@
 	if len(r.Value) == 0 {
 		return
 	}
-	name, dataCentre := r.Key, ""
-	if i := strings.LastIndexByte(r.Key, dataCentreSeparator); i >= 0 {
-		name, dataCentre = r.Key[:i], r.Key[i+1:]
-	}
+	name, dataCentre, weight := parseRegistrationKey(r.Key)
 	address, err := netip.ParseAddr(string(r.Value))
 	if err != nil {
 		i.log.Warn("address of an instance can't be read", telemetry.Fields{"neighbour": r.Key, "error": err.Error()})
 		return
 	}
-	if dataCentre == "" {
-		name = "" // written by an older release
-	}
-	i.exchanger.AddNamed(address, name, dataCentre)
+	i.exchanger.AddNamed(address, name, dataCentre, weight)
 }
 
-// dataCentreSeparator separates an instance's name from its data centre in the key
-// under which its address is registered.
-const dataCentreSeparator = '@'
+// keySeparator separates the parts of the key under which an instance's address is
+// registered: its weight, its data centre and its name.
+const keySeparator = "@"
 
 // registrationKey returns the key under which this instance's address is registered.
+// Older releases register the name alone, and ignore the key.
 func (i *instance) registrationKey() string {
-	return i.settings.Name + string(dataCentreSeparator) + i.settings.DataCentre
+	return strconv.Itoa(i.weight()) + keySeparator + i.settings.DataCentre + keySeparator + i.settings.Name
+}
+
+// parseRegistrationKey returns the parts of a registration key, all empty if an older
+// release wrote it.
+func parseRegistrationKey(key string) (name, dataCentre string, weight int) {
+	parts := strings.SplitN(key, keySeparator, 3)
+	if len(parts) < 3 {
+		return "", "", 0
+	}
+	weight, err := strconv.Atoi(parts[0])
+	if err != nil {
+		return "", "", 0
+	}
+	return parts[2], parts[1], weight
 }
 
-// awaitRelay waits until keepers announce all data centres, or for relayWait, if there
+// weight returns this instance's weight in the choice of its data centre's keeper.
+func (i *instance) weight() int { return neighbour.Weight(i.settings.Cores, i.settings.LinkMegabits) }
+
+// awaitRelay waits until keepers announce all data centres, but not for long, if there
 // are so many instances that the store would get too many calls if each read the
 // workers' entries at its start.
 func (i *instance) awaitRelay(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, relayWait)
+	ctx, cancel := context.WithTimeout(ctx, maxRelayWait)
 	defer cancel()
-	for ctx.Err() == nil && !i.workersRelayed() && !i.isKeeper() {
+	for start := time.Now(); ctx.Err() == nil && !i.workersRelayed() && !i.isKeeper(); {
 		i.mu.Lock()
 		known := !i.instancesKnownAt.IsZero()
 		i.mu.Unlock()
-		if known && !i.exchanger.UsesRelays() {
+		if known && !i.exchanger.UsesRelays() || time.Since(start) > relayWait && !i.exchanger.HearsRelay() {
 			return
 		}
 		sleep(ctx, relayPoll)
@@ -84,7 +98,9 @@
 }
 
 const (
-	// relayWait is longer than the first keepers take to form after a start.
-	relayWait = 3 * time.Second
-	relayPoll = 10 * time.Millisecond
+	// relayWait is longer than the first keepers take to appear after a start, and
+	// maxRelayWait longer than it then takes them to ask all workers.
+	relayWait    = 3 * time.Second
+	maxRelayWait = 10 * time.Second
+	relayPoll    = 20 * time.Millisecond
 )
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -163,7 +163,7 @@
 		func() int { return i.exchanger.ProcessCount() }, func() { i.rebuildPlaces() })
 	i.exchanger = &neighbour.Exchanger{
 		Instance: settings.Name, DataCentre: settings.DataCentre, DataCentres: settings.DataCentres,
-		Listen: settings.NeighbourAddress, Started: i.started,
+		Listen: settings.NeighbourAddress, Started: i.started, Weight: i.weight(),
 		Digest: i.digest, OnDigest: i.onDigest, OnRefuse: i.onRefuse,
 		OnTimestampError: func(err error) {
 			i.log.Warn("datagrams have no time of arrival", telemetry.Fields{"error": err.Error()})
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -20,7 +20,9 @@
 	NeighbourAddress netip.AddrPort
 	Seeds            []netip.Addr // addresses of some instances, perhaps outdated
 
-	MemoryBytes int64
+	MemoryBytes  int64
+	Cores        float64 // share of a processor core, or number of cores
+	LinkMegabits float64 // megabits per second of the machine's link
 
 	StoreAddress string // address of the platform's metadata store
 
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -76,6 +76,10 @@
 	// they stay the same. HasPlaces is set if it did not. Both are 0 in other digests.
 	PlacesVersion uint64 `cbor:"28,keyasint,omitempty"`
 	HasPlaces     bool   `cbor:"29,keyasint,omitempty"`
+	// Packed replaces Places in the encoded digest of a relay.
+	Packed *packedPlaces `cbor:"31,keyasint,omitempty"`
+	// Weight is the sender's weight in the choice of its data centre's keeper.
+	Weight int `cbor:"30,keyasint,omitempty"`
 
 	// BufferedFor is how long the digest waited in the receiver's socket buffer, for example
 	// because the receiving process was stopped. It is not encoded.
@@ -146,6 +150,9 @@
 			places[i] = p.clamp()
 		}
 	}
+	if d.Relay {
+		d.pack()
+	}
 	return cbor.Marshal(d)
 }
 
@@ -161,6 +168,9 @@
 	if d.Version != digestVersion && d.Version != relayVersion {
 		return Digest{}, newRefusal(Unreadable, "unknown version %d", d.Version)
 	}
+	if err := d.unpack(); err != nil {
+		return Digest{}, err
+	}
 	if err := d.check(now); err != nil {
 		return Digest{}, err
 	}
--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -90,7 +90,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
-	ownRank := keeperRank(x.DataCentre, x.Instance)
+	ownRank := x.ownRank()
 	for _, p := range x.peers {
 		if !p.isRecent(now) || p.dataCentre != x.DataCentre {
 			continue
@@ -115,6 +115,16 @@
 	return x.topology(now, func(p *peer) bool { return p.lastDigest.StoreUnreachable && !storeUnreachable }).mayClaim(now.Sub(waitingSince))
 }
 
+// ownRank returns this instance's place in the choice of the keeper.
+func (x *Exchanger) ownRank() uint64 { return rankOf(x.DataCentre, x.Instance, x.Weight) }
+
+// HearsRelay reports whether the relay of this instance's data centre was heard lately.
+func (x *Exchanger) HearsRelay() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Since(x.relayHeard[x.DataCentre]) <= reachableFor
+}
+
 // usesRelays reports whether there are too many instances for each to send its digest
 // to all others. The caller holds the lock.
 func (x *Exchanger) usesRelays() bool {
@@ -176,7 +186,7 @@
 // unable to become a keeper for another reason than its end. The caller holds the lock.
 func (x *Exchanger) topology(now time.Time, absent func(*peer) bool) topology {
 	t := topology{
-		dataCentre: x.DataCentre, rank: keeperRank(x.DataCentre, x.Instance), relay: x.relaying, tick: x.seq,
+		dataCentre: x.DataCentre, rank: x.ownRank(), relay: x.relaying, tick: x.seq,
 		fresh: x.relaying && now.Sub(x.relaySince) < freshFor,
 		nodes: make([]node, 0, len(x.peers)),
 		noRelay: func(dataCentre string) time.Duration {
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -49,6 +49,7 @@
 	DataCentres []string
 	Listen      netip.AddrPort
 	Started     time.Time
+	Weight      int // of this instance in the choice of the keeper, see Weight
 	// Digest returns the next digest to send, without the sender, the sequence number
 	// and the echoes.
 	Digest func() Digest
@@ -87,9 +88,10 @@
 // peer is another instance, identified by its address.
 type peer struct {
 	address         netip.Addr
-	instance        string      // name as registered or from its digests; empty if not known
-	dataCentre      string      // likewise
-	rank            uint64      // keeperRank of the two
+	instance        string // name as registered or from its digests; empty if not known
+	dataCentre      string // likewise
+	weight          int
+	rank            uint64      // rankOf the three
 	turns           placesTurns // of its digests, when they are relayed
 	listed          bool        // in the settings or by the platform, rather than known only from its digests
 	lastDigest      Digest
@@ -103,10 +105,10 @@
 	pendingRun      Echo  // last digest of another run that is not accepted yet
 }
 
-// setName sets the name and data centre of the peer.
-func (p *peer) setName(instance, dataCentre string) {
-	if p.instance != instance || p.dataCentre != dataCentre {
-		p.instance, p.dataCentre, p.rank = instance, dataCentre, keeperRank(dataCentre, instance)
+// setName sets the name, data centre and weight of the peer.
+func (p *peer) setName(instance, dataCentre string, weight int) {
+	if p.instance != instance || p.dataCentre != dataCentre || p.weight != weight {
+		p.instance, p.dataCentre, p.weight, p.rank = instance, dataCentre, weight, rankOf(dataCentre, instance, weight)
 	}
 }
 
@@ -130,10 +132,10 @@
 }
 
 // Add adds an instance that the settings or the platform list.
-func (x *Exchanger) Add(address netip.Addr) { x.AddNamed(address, "", "") }
+func (x *Exchanger) Add(address netip.Addr) { x.AddNamed(address, "", "", 0) }
 
-// AddNamed is like Add for an instance whose name and data centre are known.
-func (x *Exchanger) AddNamed(address netip.Addr, instance, dataCentre string) {
+// AddNamed is like Add for an instance whose name, data centre and weight are known.
+func (x *Exchanger) AddNamed(address netip.Addr, instance, dataCentre string, weight int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.addPeer(address)
@@ -142,7 +144,7 @@
 	}
 	p.listed = true
 	if p.receivedAt.IsZero() && instance != "" {
-		p.setName(instance, dataCentre)
+		p.setName(instance, dataCentre, min(max(weight, 0), maxWeight))
 	}
 }
 
@@ -290,7 +292,7 @@
 	x.fillPlaces(&d, now)
 	x.noteRelays(d, now)
 	p.lastDigest, p.receivedAt, p.reachable, p.presumedEnded = d, now, true, false
-	p.setName(d.Instance, d.DataCentre)
+	p.setName(d.Instance, d.DataCentre, d.Weight)
 	p.newestStart, p.pendingRun = max(p.newestStart, d.Started), Echo{}
 	p.lastDigestBytes = size
 	x.digestBytes += size - previousSize
@@ -356,7 +358,7 @@
 	if d.Keeper {
 		d.Echoes = echoes
 	}
-	d.Instance, d.DataCentre, d.Started = x.Instance, x.DataCentre, x.Started.UnixMilli()
+	d.Instance, d.DataCentre, d.Started, d.Weight = x.Instance, x.DataCentre, x.Started.UnixMilli(), x.Weight
 	x.mu.Lock()
 	x.seq++
 	d.Seq = x.seq
@@ -488,7 +490,7 @@
 	return p.reachable && now.Sub(p.receivedAt) <= reachableFor
 }
 
-// keeperRank returns an instance's rank in the choice of the keeper.
+// keeperRank returns the hash by which instances of equal weight are ranked.
 func keeperRank(dataCentre, instance string) uint64 {
 	return xxhash.Sum64String(dataCentre + "/" + instance)
 }
--- /dev/null
+++ b/internal/neighbour/packed.go
@@ -0,0 +1,123 @@
+package neighbour
+
+import (
+	"math/bits"
+	"net/netip"
+)
+
+// packedPlaces is the form in which a relay sends its places. It has each name of a
+// service or model once, and addresses in binary form, since these lists are most of
+// what relays send.
+type packedPlaces struct {
+	_       struct{} `cbor:",toarray"`
+	Names   []string // of services and models
+	Entries []packedPlace
+}
+
+// packedPlace is an entry of packedPlaces.
+type packedPlace struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Service int    // index in Names
+	Model   int    // likewise
+	Address []byte // as netip.AddrPort marshals it; empty if it is none
+	Slots   int
+	Cold    int64
+}
+
+func packPlaces(places []Place) *packedPlaces {
+	if len(places) == 0 {
+		return nil
+	}
+	packed := &packedPlaces{Entries: make([]packedPlace, 0, len(places))}
+	indexes := map[string]int{}
+	index := func(name string) int {
+		i, ok := indexes[name]
+		if !ok {
+			i = len(packed.Names)
+			indexes[name] = i
+			packed.Names = append(packed.Names, name)
+		}
+		return i
+	}
+	for _, p := range places {
+		entry := packedPlace{Server: p.Server, Service: index(p.Service), Model: index(p.Model), Slots: p.Slots, Cold: p.Cold}
+		if address, err := netip.ParseAddrPort(p.Address); err == nil {
+			entry.Address, _ = address.MarshalBinary() // never fails
+		}
+		packed.Entries = append(packed.Entries, entry)
+	}
+	return packed
+}
+
+// unpack returns the places, or an error if an entry is malformed.
+func (p *packedPlaces) unpack() ([]Place, error) {
+	if p == nil {
+		return nil, nil
+	}
+	places := make([]Place, 0, len(p.Entries))
+	for _, e := range p.Entries {
+		if e.Service < 0 || e.Service >= len(p.Names) || e.Model < 0 || e.Model >= len(p.Names) {
+			return nil, newRefusal(Unreadable, "place %q names service %d or model %d of %d", e.Server, e.Service, e.Model, len(p.Names))
+		}
+		place := Place{Server: e.Server, Service: p.Names[e.Service], Model: p.Names[e.Model], Slots: e.Slots, Cold: e.Cold}
+		if len(e.Address) > 0 {
+			var address netip.AddrPort
+			if err := address.UnmarshalBinary(e.Address); err != nil {
+				return nil, newRefusal(Unreadable, "place %q has the address %x", e.Server, e.Address)
+			}
+			place.Address = address.String()
+		}
+		places = append(places, place)
+	}
+	return places, nil
+}
+
+// pack replaces the places of a relay's digest, and of those that it passes on, by their
+// packed form.
+func (d *Digest) pack() {
+	d.Packed, d.Places = packPlaces(d.Places), nil
+	relayed := make([]Digest, len(d.Relayed))
+	for i, r := range d.Relayed {
+		r.pack()
+		relayed[i] = r
+	}
+	if len(relayed) > 0 {
+		d.Relayed = relayed
+	}
+}
+
+// unpack restores the places of a digest and of those that it passes on.
+func (d *Digest) unpack() error {
+	if d.Packed != nil {
+		places, err := d.Packed.unpack()
+		if err != nil {
+			return err
+		}
+		d.Places, d.Packed = places, nil
+	}
+	for i := range d.Relayed {
+		if err := d.Relayed[i].unpack(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// maxWeight is the largest weight of an instance.
+const maxWeight = 63
+
+// Weight returns the weight of a machine with a processor of so many cores and a link of
+// so many megabits per second. The heaviest instance of a data centre is its keeper, which
+// as a relay needs more of both than the others.
+func Weight(cores, linkMegabits float64) int {
+	const milli = 1000
+	return min(bits.Len(uint(max(cores, 0)*milli))+bits.Len(uint(max(linkMegabits, 0))), maxWeight)
+}
+
+// rankOf returns an instance's place in the choice of its data centre's keeper. The lowest
+// rank is chosen: the greatest weight, and among those the lowest hash.
+func rankOf(dataCentre, instance string, weight int) uint64 {
+	const weightBits = 6
+	return uint64(maxWeight-weight)<<(64-weightBits) | keeperRank(dataCentre, instance)>>weightBits
+}
--- a/internal/neighbour/relay_test.go
+++ b/internal/neighbour/relay_test.go
@@ -57,7 +57,7 @@
 	i.next = time.Now().Add(time.Duration(w.random.Int64N(int64(300 * time.Millisecond))))
 	x := &Exchanger{
 		Instance: fmt.Sprintf("entry-%d", n), DataCentre: dataCentre, Started: time.Now(),
-		Listen: netip.AddrPortFrom(relayAddress(n), 1),
+		Listen: netip.AddrPortFrom(relayAddress(n), 1), Weight: n % 4,
 	}
 	x.Digest = func() Digest {
 		d := Digest{Load: []Load{{Place: "h", Running: n + 1}}}
@@ -86,8 +86,8 @@
 	}
 	for m, other := range w.instances {
 		if other.Exchanger != nil {
-			x.AddNamed(relayAddress(m), other.Instance, other.DataCentre)
-			other.AddNamed(relayAddress(n), x.Instance, dataCentre)
+			x.AddNamed(relayAddress(m), other.Instance, other.DataCentre, other.Weight)
+			other.AddNamed(relayAddress(n), x.Instance, dataCentre, x.Weight)
 		}
 	}
 	i.Exchanger = x
