--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -258,7 +258,7 @@
 			return p.ColdRate > 0 && now.Before(p.ColdUntil)
 		})
 	}
-	i.gateway.Places.Set(places, gateway.Peers{Instance: i.settings.Name, Count: i.exchanger.ProcessCount(), Lag: i.exchanger.MaxLag()})
+	i.gateway.Places.Set(places, gateway.Peers{Instance: i.settings.Name, Count: i.exchanger.ProcessCount(), Lag: i.exchanger.RelayLag()})
 }
 
 // refreshPlaces periodically rebuilds the places and closes idle connections that are
--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -139,13 +139,13 @@
 	return x.usesRelays()
 }
 
-// MaxLag returns how old the content of the last digests of reachable instances may be, as
-// long as none is lost.
-func (x *Exchanger) MaxLag() time.Duration {
-	if x.UsesRelays() {
-		return 2 * relayInterval // one to the relay, one from it
+// RelayLag returns how old the loads in a relay's digest may be, as long as none is lost:
+// one interval to the relay and one from it. It is 0 if all instances send to each other.
+func (x *Exchanger) RelayLag() time.Duration {
+	if !x.UsesRelays() {
+		return 0
 	}
-	return Interval
+	return 2 * relayInterval
 }
 
 // isRelay reports whether a peer is heard as the relay of its data centre.
--- a/internal/neighbour/relay_test.go
+++ b/internal/neighbour/relay_test.go
@@ -152,7 +152,7 @@
 		}
 		told := 0
 		for source, load := range i.loads {
-			if time.Since(time.UnixMilli(i.told[source])) <= 5*i.MaxLag() {
+			if time.Since(time.UnixMilli(i.told[source])) <= 5*i.RelayLag() {
 				told += load
 			}
 		}
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -56,7 +56,7 @@
 type Scheduler struct {
 	Instance   string        // name of this instance, by which it prefers other places than its peers do
 	Instances  int           // instances that share the rate of a cold place; 0 means 1
-	PeerLag    time.Duration // how old the loads of the peers may be
+	PeerLag    time.Duration // how old the loads of the peers may be; 0 if that is little against the time between requests
 	MaxWaiting int           // limit of waiting tickets for each service and model; 0 means DefaultMaxWaiting
 	// Random returns a random number in [0, 1). If it is nil, rand.Float64 is used.
 	Random func() float64
