pkg/formation: an eighth of each domain is kept as spares until a model is short of slots

Change: a group is not formed if its domain would keep fewer than an eighth of its workers, unless the model has no group or 0.7 of its slots are taken. Spares without weights load the model with the most members for each spare.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -150,6 +150,7 @@
 	forming       map[string]formation.FormingGroup
 	staging       map[string]formation.Staging
 	epoch         int64 // the highest epoch that an order has carried
+	domainSizes   map[string]int
 	loadBudget    loadBudget
 	groupLostAt   map[string]time.Time // when a group of a model last lost a member, by model
 }
@@ -201,7 +202,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heads, k.headsPublished, k.repairing = nil, false, false
-	k.forming, k.staging, k.epoch = nil, nil, 0
+	k.forming, k.staging, k.epoch, k.domainSizes = nil, nil, 0, nil
 	for _, w := range k.workers {
 		w.consistent, w.reported, w.failedProbes = false, false, 0
 	}
@@ -227,7 +228,7 @@
 		decide = formation.Decide
 	}
 	d := decide(in)
-	k.forming, k.staging, k.epoch = d.Forming, d.Staging, d.Epoch
+	k.forming, k.staging, k.epoch, k.domainSizes = d.Forming, d.Staging, d.Epoch, d.DomainSizes
 	k.logNotes(d.Notes)
 	k.sendOrders(ctx, d.Orders)
 	k.publishHeads()
@@ -250,7 +251,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	in := formation.Input{
-		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging,
+		Now: now, Engine: engine, Forming: k.forming, Staging: k.staging, DomainSizes: k.domainSizes,
 		TakenOut: k.TakenOut(), Serving: k.Serving(), Utilization: k.Utilization, NewGroupName: k.newGroupName,
 		LoadBudget:         k.loadBudget.available(now, engine.LoadRate, k.LoadWindow, k.DataCentres(), k.Serving()),
 		Headless:           k.headlessGroups(now),
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -96,6 +96,7 @@
 		d.LoadBudget -= best.newLoads
 		d.decision.Forming[f.Group] = f
 		d.groupCounts[model.Name]++
+		d.grouped[best.members[0].Domain] += len(best.members)
 		d.addNote(Note{Group: f.Group, Model: f.Model, Event: "formed",
 			Detail: fmt.Sprintf("domain %s, %d members, %d loads, %d spare", best.members[0].Domain, len(f.Members), len(f.Loading), best.spares)})
 		return true
@@ -134,6 +135,8 @@
 		return candidate{}, infeasible
 	case leaving > 0:
 		return candidate{}, waiting // the workers that are leaving their group have the weights
+	case d.takesReserve(model, workers[0].Domain):
+		return candidate{}, infeasible
 	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
 		return cmp.Compare(d.joinRank(a, model, preferred), d.joinRank(b, model, preferred))
@@ -268,9 +271,9 @@
 	})
 }
 
-// modelForSpare returns the model that a spare worker should load: of the models
-// without a spare in its domain, the one with the most members there. It returns
-// false if the models that the worker already has are needed nearly as much.
+// modelForSpare returns the model that a spare worker should load: the one with the most
+// members for each spare in its domain. It returns false if the models that the worker
+// already has are needed nearly as much, or if another spare has the model.
 func (d *decider) modelForSpare(w *Worker) (catalog.Model, bool) {
 	var best catalog.Model
 	var bestNeed, ownNeed float64
@@ -280,7 +283,8 @@
 			ownNeed = max(ownNeed, float64(members)/float64(spares))
 			continue
 		}
-		if need := float64(members) / float64(spares+1); spares == 0 && need > bestNeed {
+		holdsNothing := len(w.StagedModels) == 0
+		if need := float64(members) / float64(spares+1); (spares == 0 || holdsNothing) && need > bestNeed {
 			best, bestNeed = model, need
 		}
 	}
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -84,6 +84,8 @@
 	// Utilization returns the share of a model's slots that is in use, from 0 to 1. If it is
 	// nil, the share is taken as 1.
 	Utilization func(model string) float64
+	// DomainSizes holds the largest number of workers seen in each domain so far.
+	DomainSizes map[string]int
 	// LoadBudget is the number of loads that may begin now.
 	LoadBudget int
 	// MaxConcurrentLoads is the number of loads that may run concurrently in this data centre.
@@ -108,6 +110,8 @@
 	Staging map[string]Staging
 	Notes   []Note
 	Epoch   int64 // the highest epoch of any order so far
+	// DomainSizes is to be passed to the next call.
+	DomainSizes map[string]int
 }
 
 // GroupName returns the name of a group that serves a model. The suffix makes the
@@ -163,6 +167,7 @@
 	inForming   map[string]bool      // members of the groups that are forming
 	groupCounts map[string]int       // groups that are open or forming, by model
 	leaving     map[string]int       // workers that are leaving their group, by domain
+	grouped     map[string]int       // members of groups that are open or forming, by domain
 	epoch       int64
 	decision    Decision
 }
@@ -179,7 +184,8 @@
 		inForming:   map[string]bool{},
 		groupCounts: map[string]int{},
 		leaving:     map[string]int{},
-		decision:    Decision{Forming: map[string]FormingGroup{}, Staging: map[string]Staging{}},
+		grouped:     map[string]int{},
+		decision:    Decision{Forming: map[string]FormingGroup{}, Staging: map[string]Staging{}, DomainSizes: map[string]int{}},
 	}
 	d.epoch = in.Epoch
 	d.indexWorkers()
@@ -192,6 +198,7 @@
 		}
 	}
 	d.pruneStaging()
+	d.countDomains()
 	if !in.TakenOut {
 		for d.formGroup() {
 		}
