--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -126,9 +126,15 @@
 }
 
 // usesRelays reports whether there are too many instances for each to send its digest
-// to all others. The caller holds the lock.
+// to all others. It is counted anew after each Interval. The caller holds the lock.
 func (x *Exchanger) usesRelays() bool {
-	return len(x.peers) > meshPeers && x.processCount(time.Now())-1 > meshPeers
+	if len(x.peers) <= meshPeers {
+		return false
+	}
+	if now := time.Now(); x.modeAt.IsZero() || now.Sub(x.modeAt) >= Interval {
+		x.modeAt, x.manyProcesses = now, x.processCount(now)-1 > meshPeers
+	}
+	return x.manyProcesses
 }
 
 // UsesRelays reports whether digests go to the relays of the data centres, rather than to
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -65,18 +65,20 @@
 	// be enabled. Digests that waited in the socket buffer then count as new.
 	OnTimestampError func(error)
 
-	mu          sync.Mutex
-	peers       map[netip.Addr]*peer
-	places      map[string]cachedPlaces // by relay
-	ownTurns    placesTurns
-	relaying    bool                    // this instance sends as a relay
-	relaySince  time.Time               // when that began
-	relayHeard  map[string]time.Time    // when a relay of a data centre was last heard
-	lowerHeard  time.Time               // when an instance was last heard that precedes this one as keeper
-	processes   map[string]relayedCount // by data centre
-	digestBytes int                     // memory of the last digests of all peers
-	seq         uint64
-	sendTimes   [sentHistory]time.Duration // send times on the clock of package boottime, indexed by sequence number modulo sentHistory
+	mu            sync.Mutex
+	peers         map[netip.Addr]*peer
+	places        map[string]cachedPlaces // by relay
+	ownTurns      placesTurns
+	modeAt        time.Time               // when manyProcesses was determined
+	manyProcesses bool                    // there are more than meshPeers others
+	relaying      bool                    // this instance sends as a relay
+	relaySince    time.Time               // when that began
+	relayHeard    map[string]time.Time    // when a relay of a data centre was last heard
+	lowerHeard    time.Time               // when an instance was last heard that precedes this one as keeper
+	processes     map[string]relayedCount // by data centre
+	digestBytes   int                     // memory of the last digests of all peers
+	seq           uint64
+	sendTimes     [sentHistory]time.Duration // send times on the clock of package boottime, indexed by sequence number modulo sentHistory
 }
 
 // relayedCount is the number of processes that a relay reported.
