internal/gateway: a key is proven again when its request is sent

Cause: the age of the configuration was checked when a request arrived. If the process was paused while the request waited for a place, it was sent by a proof that had expired meanwhile, with a key that may have been revoked. Change: before a request with a key that has not run is sent, the age is checked again. Result: TestKeyIsProvenWhenTheRequestIsSent answered 200 after a pause of twice the bound, 503 and no run now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,6 +70,9 @@
 	if remaining <= 0 {
 		return attemptResult{next: stepGiveUp, refusal: q.timeoutRefusal(errTimeout)}
 	}
+	if q.permissionExpired() {
+		return attemptResult{next: stepGiveUp, refusal: *q.staleRefusal()}
+	}
 	q.trace.Add("placed", telemetry.Fields{
 		"place": d.Place.ID, "data_centre": d.Place.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(waitStart).Milliseconds(),
 		"running": d.Running, "free": d.FreeSlots, "waiting": d.Waiting, "prompt": q.call.PromptTokens, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
@@ -86,6 +89,13 @@
 	return res
 }
 
+// permissionExpired reports whether the key of a request that has not run yet may have
+// been revoked since it was checked: the process was paused, or the request has waited,
+// until the proof of its configuration was too old.
+func (q *request) permissionExpired() bool {
+	return q.account != "" && !q.mayHaveRun && q.gateway.View().Age() > q.gateway.MaxAge
+}
+
 // recordFailure logs and counts a failed attempt.
 func (q *request) recordFailure(place string, res attemptResult, s *streamState, took time.Duration) {
 	fields := telemetry.Fields{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -146,7 +146,7 @@
 func (q *request) resolveRoute() *refusal {
 	g, c := q.gateway, q.view.Catalog
 	age := q.view.Age()
-	stale := &refusal{status: http.StatusServiceUnavailable, reason: "configuration is not proven", retryAfter: staleRetryAfter}
+	stale := q.staleRefusal()
 	route, ok := c.Match(q.incoming.Host, q.incoming.URL.EscapedPath())
 	if !ok {
 		if age > g.StaleAfter {
@@ -191,6 +191,11 @@
 	return nil
 }
 
+// staleRefusal returns the refusal of an instance that can't prove its configuration.
+func (q *request) staleRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "configuration is not proven", retryAfter: staleRetryAfter}
+}
+
 // context returns a context that ends when the client disconnects or the deadline
 // of the request passes.
 func (q *request) context() (context.Context, func()) {
