internal/instance: fewer calls to the store at the start

Cause: before there is a configuration, each of 295 instances asked for it every 1.5 s, and while groups form each keeper reads the workers' entries up to 20 times a second, whatever the number of instances. Change: the first waits 4 s, since there is no proof to keep up yet; the pause of the second grows with the instances.

--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -19,6 +19,8 @@
 	maxReadWait = 1500 * time.Millisecond
 	// keeperReadWait replaces maxReadWait on a keeper.
 	keeperReadWait = 600 * time.Millisecond
+	// startReadWait replaces both before there is a configuration.
+	startReadWait = 4 * time.Second
 	// recoveryReadWait replaces both while entries are kept that lapsed during an
 	// outage of the store.
 	recoveryReadWait = 200 * time.Millisecond
@@ -41,6 +43,9 @@
 	keeperPause            = 50 * time.Millisecond
 	keeperPausePerInstance = 3 * time.Millisecond
 	maxKeeperPause         = 200 * time.Millisecond
+	// repairPausePerInstance replaces keeperPausePerInstance while groups are forming,
+	// when each step follows a change of an entry.
+	repairPausePerInstance = 400 * time.Microsecond
 	// retryPause is the first pause after a failed call. It doubles with each failure
 	// up to maxRetryPause; jitter shortens it by up to half.
 	retryPause    = 60 * time.Millisecond
@@ -124,6 +129,8 @@
 // newest.
 func (s *State) readWait() time.Duration {
 	switch {
+	case s.View().Catalog == nil:
+		return startReadWait // there is no proof to keep up yet
 	case s.KeepsLapsedEntries():
 		return recoveryReadWait // the read must not delay the end of the grace for lapsed entries
 	case s.isKeeper():
--- a/internal/instance/workers.go
+++ b/internal/instance/workers.go
@@ -73,7 +73,7 @@
 	case !s.isKeeper():
 		return min(max(workersPause, time.Duration(s.processes())*workersPausePerInstance), maxWorkersPause)
 	case s.repairing():
-		return keeperPause
+		return min(max(keeperPause, time.Duration(s.processes())*repairPausePerInstance), maxKeeperPause)
 	}
 	return min(max(keeperPause, time.Duration(s.processes())*keeperPausePerInstance), maxKeeperPause)
 }
