internal/instance: fewer wake-ups; pkg/formation: a filling domain waits for large groups at the start

An idle instance still woke 33 times a second. Before the first request, while workers arrive in a domain, no smaller group is formed there ahead of a larger one that has more need.

--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -129,6 +129,12 @@
 		i.gateway.Places.SetPeerLoads(d.Instance, loads)
 	}
 	i.gateway.Places.SetFailing(d.FailingHeads)
+	if len(d.SilentHeads) > 0 {
+		select {
+		case i.silentHeads <- struct{}{}:
+		default:
+		}
+	}
 	if !d.Keeper {
 		return
 	}
@@ -266,13 +272,13 @@
 // refreshPlaces periodically rebuilds the places and closes idle connections that are
 // too old or belong to no place.
 func (i *instance) refreshPlaces(ctx context.Context) error {
-	ticker := time.NewTicker(placesInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		interval := placesInterval
+		if i.exchanger.UsesRelays() {
+			interval = relayPlacesInterval
+		}
+		if sleep(ctx, interval); ctx.Err() != nil {
 			return nil
-		case <-ticker.C:
 		}
 		known := map[exchange.Server]bool{}
 		for _, p := range i.rebuildPlaces() {
@@ -286,6 +292,13 @@
 // The fault may affect only the connection between head and keeper.
 func (i *instance) probeUnreachableHeads(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !i.exchanger.AnyRecent(func(d *neighbour.Digest) bool { return len(d.SilentHeads) > 0 }) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-i.silentHeads:
+			}
+		}
 		sleep(ctx, probeInterval)
 		var group errgroup.Group
 		processes := i.exchanger.ProcessCount()
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -53,6 +53,9 @@
 	stallHold = 300 * time.Millisecond
 	// placesInterval is how often the places are rebuilt without a change.
 	placesInterval = 250 * time.Millisecond
+	// relayPlacesInterval replaces placesInterval where there are relays, whose digests
+	// cause most changes.
+	relayPlacesInterval = 500 * time.Millisecond
 	// metricsTimeout limits the reading of a metrics request, the writing of its
 	// response, and idle connections. It is the default scrape timeout of Prometheus.
 	metricsTimeout = 10 * time.Second
@@ -88,6 +91,8 @@
 	rebuilding sync.Mutex // held while the places are rebuilt
 	usability  usabilityLog
 
+	silentHeads chan struct{} // receives when a keeper has told of heads that don't answer it
+
 	mu                sync.Mutex
 	reachedAt         map[string]time.Time            // last answer of each head that doesn't answer its keeper
 	refusalLoggedAt   map[neighbour.Refusal]time.Time // last log line about a refused datagram, by reason
@@ -157,6 +162,7 @@
 		platform:        c.Platform,
 		reachedAt:       map[string]time.Time{},
 		refusalLoggedAt: map[neighbour.Refusal]time.Time{},
+		silentHeads:     make(chan struct{}, 1),
 		stopping:        func() bool { return ctx.Err() != nil },
 	}
 	i.state = NewState(i.platform, settings, i.log, i.isKeeper, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -27,8 +27,11 @@
 	// maxRelayAge is the least value of Settings.relayAge.
 	maxRelayAge = 1200 * time.Millisecond
 	// relayCheckShare is the share of relayAge after which an instance that relies on
-	// keepers checks again whether it must read the store itself.
-	relayCheckShare = 12
+	// keepers checks again whether it must read the store itself, and relayCheckShareOfMany
+	// that of each of more than fewInstances.
+	relayCheckShare       = 12
+	relayCheckShareOfMany = 5
+	fewInstances          = 17
 	// operatorPause is the pause after a read that returned operator's records, and
 	// workersPause the one after a read that returned workers' entries. The latter
 	// grows with the number of instances, since the store limits the calls of all
@@ -73,6 +76,7 @@
 	workersRelayed func() bool // whether keepers announce all data centres
 	processes      func() int  // number of known instances
 	relayAge       time.Duration
+	news           chan struct{} // receives when a keeper has read records that this instance has not
 	// clock is boottime.Now, except in tests.
 	clock func() time.Duration
 
@@ -94,7 +98,7 @@
 func NewState(platform Platform, settings Settings, log *telemetry.Log, isKeeper, repairing, workersRelayed func() bool, processes func() int, onChange func()) *State {
 	return &State{
 		platform: platform, log: log, isKeeper: isKeeper, repairing: repairing, workersRelayed: workersRelayed, processes: processes, onChange: onChange,
-		clock: boottime.Now, relayAge: settings.relayAge(),
+		clock: boottime.Now, relayAge: settings.relayAge(), news: make(chan struct{}, 1),
 		list: listing.New(listing.Rules{
 			OutageThreshold: lapseHeartbeats * settings.HeartbeatInterval, Grace: lapseGrace, MaxAnnouncementAge: settings.relayAge(), AgeTolerance: neighbour.Interval,
 		}),
@@ -158,6 +162,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relayedEnd = max(s.relayedEnd, end)
+	if end > s.operatorEnd {
+		select {
+		case s.news <- struct{}{}:
+		default:
+		}
+	}
 	s.relayedProof = max(s.relayedProof, proof)
 	if s.view.Catalog != nil && s.operatorEnd >= end {
 		s.view.ConfirmedAt = max(s.view.ConfirmedAt, proof)
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -41,7 +41,7 @@
 	pacing := pacer{}
 	for ctx.Err() == nil {
 		if (next >= 0 || !w.readsFirst) && w.relayed() {
-			sleep(ctx, s.relayAge/relayCheckShare)
+			s.awaitLapse(ctx)
 			continue
 		}
 		b := batch{began: s.clock(), caughtUp: true, resumed: failed}
@@ -83,6 +83,22 @@
 	return nil
 }
 
+// awaitLapse waits for a share of relayAge, or until a keeper's word shows that there are
+// records to read.
+func (s *State) awaitLapse(ctx context.Context) {
+	share := time.Duration(relayCheckShare)
+	if s.processes() > fewInstances {
+		share = relayCheckShareOfMany
+	}
+	timer := time.NewTimer(s.relayAge / share)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.news:
+	}
+}
+
 // pacer computes the pauses between reads that return no records, so that a store
 // which answers each of them at once does not cause a busy loop of calls. The zero
 // value is ready to use.
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -131,6 +131,8 @@
 func (d *decider) domainCandidate(model catalog.Model, preferred []catalog.Model, workers []*Worker) (candidate, feasibility) {
 	leaving := d.leaving[workers[0].Domain]
 	switch {
+	case len(workers)+leaving < model.Size && !d.Serving && d.hasNewWorkers(workers[0].Domain):
+		return candidate{}, waiting // more workers are coming; smaller groups would take them one by one
 	case len(workers)+leaving < model.Size:
 		return candidate{}, infeasible
 	case leaving > 0:
