--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -273,17 +273,14 @@
 	})
 }
 
-// modelForSpare returns the model that a spare worker should load: the one of whose workers
-// in the domain the most would serve nothing after a loss, for each spare. Those are the
-// other members of a group; what remains of small groups soon makes another one. It returns
-// false if the models that the worker already has are needed nearly as much, or if another
-// spare has the model.
+// modelForSpare returns the model that a spare worker should load: the one with the most
+// members for each spare in its domain. It returns false if the models that the worker
+// already has are needed nearly as much, or if another spare has the model.
 func (d *decider) modelForSpare(w *Worker) (catalog.Model, bool) {
 	var best catalog.Model
 	var bestNeed, ownNeed float64
 	for _, model := range d.Engine.Models {
 		members, spares := d.domainCount(w.Domain, model)
-		members *= model.Size - 1
 		if d.hasOrStages(w, model) {
 			ownNeed = max(ownNeed, float64(members)/float64(spares))
 			continue
