--- a/pkg/formation/world_test.go
+++ b/pkg/formation/world_test.go
@@ -176,6 +176,9 @@
 	forming  map[string]formation.FormingGroup
 	staging  map[string]formation.Staging
 	headless map[string]bool
+	sizes    map[string]int // of domains
+	// utilization is the share of a model's slots in use; nil means that all are.
+	utilization func(model string) float64
 }
 
 // readReports reads the reports of the reachable workers. A group is headless once
@@ -201,7 +204,7 @@
 func (k *keeper) decide() []sentOrder {
 	in := formation.Input{
 		Now: k.cluster.now, Engine: k.cluster.engine, Forming: k.forming, Staging: k.staging, Headless: k.headless,
-		LoadBudget: 8, MaxConcurrentLoads: 8,
+		LoadBudget: 8, MaxConcurrentLoads: 8, DomainSizes: k.sizes, Utilization: k.utilization,
 		NewGroupName: func(model string) string {
 			k.cluster.namesUsed++
 			return formation.GroupName(model, fmt.Sprint(k.cluster.namesUsed))
@@ -217,7 +220,7 @@
 		return 1
 	})
 	d := formation.Decide(in)
-	k.forming, k.staging = d.Forming, d.Staging
+	k.forming, k.staging, k.sizes = d.Forming, d.Staging, d.DomainSizes
 	var orders []sentOrder
 	for _, o := range d.Orders {
 		orders = append(orders, sentOrder{order: o, count: k.reports[o.Worker].OrderCount, keeper: k})
