internal/instance: loads that were sent before there was a relay are dropped

Cause: when a relay ends, members send to those that may follow it; when the new one's sum arrives, what they sent counts a second time for two seconds, and places look full. Change: the first digest of another relay of the own data centre drops the loads known so far.

--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// DropPeerLoads forgets the loads that all peers reported.
+func (p *Places) DropPeerLoads() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.DropPeerLoads()
+}
+
 // Failing returns the heads that have lately failed most requests of this process.
 func (p *Places) Failing() []string {
 	p.mu.Lock()
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -121,6 +121,10 @@
 	for _, l := range d.Load {
 		loads[l.Place] = dispatch.Load{Running: l.Running, PromptTokens: l.Reading}
 	}
+	if d.Relay && d.DataCentre == i.settings.DataCentre && i.followRelay(d.Instance) {
+		// The loads that the members sent here before there was this relay are part of its sum.
+		i.gateway.Places.DropPeerLoads()
+	}
 	switch {
 	case d.Relay && d.Load == nil && d.DataCentre != i.settings.DataCentre: // left out
 	case d.Relay:
@@ -163,6 +167,16 @@
 	}
 }
 
+// followRelay records which instance is the relay of this data centre and reports whether
+// that is news.
+func (i *instance) followRelay(relay string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	isNew := i.relay != relay
+	i.relay = relay
+	return isNew
+}
+
 // onRefuse counts a refused datagram. It logs at most one per refusalLogInterval for
 // each reason.
 func (i *instance) onRefuse(from netip.Addr, reason neighbour.Refusal, err error) {
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -94,6 +94,7 @@
 	silentHeads chan struct{} // receives when a keeper has told of heads that don't answer it
 
 	mu                sync.Mutex
+	relay             string                          // name of the relay of this data centre that was heard last
 	reachedAt         map[string]time.Time            // last answer of each head that doesn't answer its keeper
 	refusalLoggedAt   map[neighbour.Refusal]time.Time // last log line about a refused datagram, by reason
 	instancesKnownAt  time.Time                       // when the instances' addresses were read; zero before that
--- a/internal/neighbour/relay_test.go
+++ b/internal/neighbour/relay_test.go
@@ -36,6 +36,7 @@
 	places map[string]int   // number of places last announced, by data centre
 	loads  map[string]int   // load of others on "h" as last told, by source
 	told   map[string]int64 // time of that
+	relay  string           // the relay last heard of the own data centre
 	next   time.Time
 }
 
@@ -70,6 +71,10 @@
 		return d
 	}
 	x.OnDigest = func(d Digest) {
+		if d.Relay && d.DataCentre == dataCentre && i.relay != d.Instance {
+			i.relay = d.Instance
+			clear(i.loads)
+		}
 		source := d.Instance
 		if d.Relay {
 			source = "relay of " + d.DataCentre
@@ -268,3 +273,30 @@
 		})
 	}
 }
+
+// When a relay ends, the members that it had hear nobody. They must not all become keeper.
+func TestFewClaimTheRoleOfALostRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newRelayWorld(t, 1, 3, 12)
+		w.run(5 * time.Second)
+		for _, i := range w.instances {
+			if i.DataCentre == "a" && w.isKeeper(i) {
+				i.up = false
+			}
+		}
+		most := 0
+		for range 40 {
+			w.run(100 * time.Millisecond)
+			claimants := 0
+			for _, i := range w.instances {
+				if i.up && i.DataCentre == "a" && w.isKeeper(i) {
+					claimants++
+				}
+			}
+			most = max(most, claimants)
+		}
+		g.Expect(most).To(BeNumerically("<=", 2), "keepers at once")
+		w.expectAgreement()
+	})
+}
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// DropPeerLoads forgets the loads that all peers reported.
+func (s *Scheduler) DropPeerLoads() {
+	clear(s.peers)
+	for _, p := range s.places {
+		p.peerLoad = Load{}
+	}
+}
+
 // addPeerLoads adds loads to those of the places, or removes them if sign is -1.
 func (s *Scheduler) addPeerLoads(loads map[string]Load, sign int) {
 	for id, load := range loads {
