internal/neighbour: ranks in a file of their own; names and comments of the last change

No behaviour changes. The choice of the keeper's rank lay in packed.go and neighbour.go and has a file now; a nil check whose only caller makes it is gone; maxRelayAge is a least value and is called minRelayAge; a comment gave a wrong range for a place's preference.

--- a/internal/instance/merge_test.go
+++ b/internal/instance/merge_test.go
@@ -227,7 +227,7 @@
 			}
 			k.next, k.readAt = int64(len(w.records)), w.now
 		}
-		if k.next == 0 || w.now < k.noDigestsUntil || w.now-k.readAt >= maxRelayAge {
+		if k.next == 0 || w.now < k.noDigestsUntil || w.now-k.readAt >= minRelayAge {
 			continue
 		}
 		w.sentCount++
@@ -236,7 +236,7 @@
 			ListAge: (w.now - k.readAt).Milliseconds() + 1, ListEnd: k.next, ListSince: k.followedFrom, Places: w.keeperPlaces(k, dataCentre),
 			Gone: w.recentRemovals(k),
 		}
-		if dataCentre == "a" && w.now-w.keepers["b"].readAt >= maxRelayAge {
+		if dataCentre == "a" && w.now-w.keepers["b"].readAt >= minRelayAge {
 			d.OtherDataCentres = map[string][]neighbour.Place{"b": w.keeperPlaces(k, "b")}
 		}
 		if w.chance(4, "lost") {
--- a/internal/instance/relay_test.go
+++ b/internal/instance/relay_test.go
@@ -48,7 +48,7 @@
 	t.Run("an old list does not replace own reads", func(t *testing.T) {
 		g := NewWithT(t)
 		i := newTestInstance(t)
-		own.ListAge = maxRelayAge.Milliseconds()
+		own.ListAge = minRelayAge.Milliseconds()
 		i.onDigest(own)
 		g.Expect(i.allAnnounced()).To(BeFalse())
 		g.Expect(i.workersRelayed()).To(BeFalse())
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -44,5 +44,5 @@
 // read after that.
 func (s Settings) relayAge() time.Duration {
 	const share = 0.6
-	return max(maxRelayAge, time.Duration(share*float64(min(s.MaxDrainDelay, s.MaxConfigDelay))))
+	return max(minRelayAge, time.Duration(share*float64(min(s.MaxDrainDelay, s.MaxConfigDelay))))
 }
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -24,8 +24,8 @@
 	// recoveryReadWait replaces both while entries are kept that lapsed during an
 	// outage of the store.
 	recoveryReadWait = 200 * time.Millisecond
-	// maxRelayAge is the least value of Settings.relayAge.
-	maxRelayAge = 1200 * time.Millisecond
+	// minRelayAge is the least value of Settings.relayAge.
+	minRelayAge = 1200 * time.Millisecond
 	// relayCheckShare is the share of relayAge after which an instance that relies on
 	// keepers checks again whether it must read the store itself, and relayCheckShareOfMany
 	// that of each of more than fewInstances.
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"golang.org/x/sync/errgroup"
@@ -491,8 +490,3 @@
 func (p *peer) isRecent(now time.Time) bool {
 	return p.reachable && now.Sub(p.receivedAt) <= reachableFor
 }
-
-// keeperRank returns the hash by which instances of equal weight are ranked.
-func keeperRank(dataCentre, instance string) uint64 {
-	return xxhash.Sum64String(dataCentre + "/" + instance)
-}
--- a/internal/neighbour/packed.go
+++ b/internal/neighbour/packed.go
@@ -1,9 +1,6 @@
 package neighbour
 
-import (
-	"math/bits"
-	"net/netip"
-)
+import "net/netip"
 
 // packedPlaces is the form in which a relay sends its places. It has each name of a
 // service or model once, and addresses in binary form, since these lists are most of
@@ -52,9 +49,6 @@
 
 // unpack returns the places, or an error if an entry is malformed.
 func (p *packedPlaces) unpack() ([]Place, error) {
-	if p == nil {
-		return nil, nil
-	}
 	places := make([]Place, 0, len(p.Entries))
 	for _, e := range p.Entries {
 		if e.Service < 0 || e.Service >= len(p.Names) || e.Model < 0 || e.Model >= len(p.Names) {
@@ -103,21 +97,3 @@
 	}
 	return nil
 }
-
-// maxWeight is the largest weight of an instance.
-const maxWeight = 63
-
-// Weight returns the weight of a machine with a processor of so many cores and a link of
-// so many megabits per second. The heaviest instance of a data centre is its keeper, which
-// as a relay needs more of both than the others.
-func Weight(cores, linkMegabits float64) int {
-	const milli = 1000
-	return min(bits.Len(uint(max(cores, 0)*milli))+bits.Len(uint(max(linkMegabits, 0))), maxWeight)
-}
-
-// rankOf returns an instance's place in the choice of its data centre's keeper. The lowest
-// rank is chosen: the greatest weight, and among those the lowest hash.
-func rankOf(dataCentre, instance string, weight int) uint64 {
-	const weightBits = 6
-	return uint64(maxWeight-weight)<<(64-weightBits) | keeperRank(dataCentre, instance)>>weightBits
-}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -36,7 +36,7 @@
 	coldPeriod       time.Duration // between two turns of this instance to send to it during its cold start
 	firstPeriodStart time.Time     // start of the period before the first turn
 	lastTurn         int64         // number of the last turn that was used; 0 for none
-	preference       float64       // cost that this instance adds, 0 to 1
+	preference       float64       // cost that this instance adds, see the function of that name
 	removed          bool          // was left out of the last SetPlaces; kept while requests run there
 }
 
