--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -214,6 +214,9 @@
 	i.metrics.Gauge("config_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return i.state.View().Age().Seconds()
 	})
+	i.metrics.Gauge("spare_workers", "Model workers of the data centre in no group, told by its keeper.", func() float64 {
+		return float64(i.keeper.SpareWorkers())
+	})
 	i.metrics.Gauge("log_lines_dropped", "Log lines left out.", func() float64 { return float64(i.log.Dropped()) })
 	return i
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -139,11 +139,13 @@
 	workers        map[string]*worker
 	heads          []roster.Server
 	headsPublished bool           // heads has been set during this term as keeper
+	usage          usage          // of the data centre's workers, as last published
 	repairing      bool           // groups are forming
 	lastList       *roster.Roster // the list that was merged last
 	termStart      time.Time      // when Acting last changed: as keeper, the start of its term
 
 	noteLoggedAt  map[formation.Note]time.Time
+	usageLoggedAt time.Time
 	stalledGroups map[string]bool      // groups whose streams have stalled
 	headLeft      map[string]bool      // groups whose head was observed to leave, or was given up
 	headlessSince map[string]time.Time // when a group was first found to have no known head
@@ -201,7 +203,7 @@
 func (k *Keeper) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.heads, k.headsPublished, k.repairing = nil, false, false
+	k.heads, k.headsPublished, k.repairing, k.usage = nil, false, false, usage{}
 	k.forming, k.staging, k.epoch, k.domainSizes = nil, nil, 0, nil
 	for _, w := range k.workers {
 		w.consistent, w.reported, w.failedProbes = false, false, 0
@@ -232,6 +234,7 @@
 	k.logNotes(d.Notes)
 	k.sendOrders(ctx, d.Orders)
 	k.publishHeads()
+	k.logUsage(engine)
 }
 
 // allReported reports whether each worker that is not lost has been probed and has
@@ -310,6 +313,7 @@
 		}
 	}
 	k.heads, k.headsPublished, k.repairing = heads, true, len(k.forming) > 0
+	k.usage = k.countUsage()
 }
 
 // Repairing reports whether groups are being formed. The next step of that follows
--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -138,6 +138,7 @@
 	case leaving > 0:
 		return candidate{}, waiting // the workers that are leaving their group have the weights
 	case d.takesReserve(model, workers[0].Domain):
+		d.noteNotFormed(model, workers, "the domain keeps its reserve")
 		return candidate{}, infeasible
 	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
@@ -168,18 +169,31 @@
 		return feasible
 	}
 	if d.Serving && d.groupCounts[model.Name] > 0 && d.Utilization != nil && d.Utilization(model.Name) < minUtilizationForLoad {
+		d.noteNotFormed(model, workers, "it needs loads, and the model has free slots")
 		return infeasible
 	}
 	if d.breaksPreferred(c, preferred, workers) {
+		d.noteNotFormed(model, workers, "it would take workers that have the weights of a model with more need")
 		return infeasible
 	}
 	running := d.runningLoads()
 	if n > d.LoadBudget || running > 0 && running+n > d.MaxConcurrentLoads || d.Serving && d.hasNewWorkers(workers[0].Domain) {
+		d.noteNotFormed(model, workers, "its loads can't begin yet")
 		return waiting
 	}
 	return feasible
 }
 
+// noteNotFormed notes why the free workers of a domain, which are given, don't become a
+// group of a model although they are enough for one.
+func (d *decider) noteNotFormed(model catalog.Model, free []*Worker, reason string) {
+	domain := free[0].Domain
+	d.addNote(Note{
+		Model: model.Name, Event: "not formed", Reason: reason,
+		Detail: fmt.Sprintf("domain %s of %d, %d free", domain, d.decision.DomainSizes[domain], len(free)),
+	})
+}
+
 // hasNewWorkers reports whether a worker appeared in a domain within newWorkerDelay.
 func (d *decider) hasNewWorkers(domain string) bool {
 	for i := range d.Workers {
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -98,7 +98,7 @@
 type Note struct {
 	Group  string
 	Model  string
-	Event  string // formed, opened, closed, dissolved, given up
+	Event  string // formed, not formed, closed, dissolved, given up
 	Reason string
 	Detail string
 }
