--- a/pkg/formation/world_test.go
+++ b/pkg/formation/world_test.go
@@ -1,6 +1,7 @@
 package formation_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -169,6 +170,8 @@
 	return true
 }
 
+const defaultLoads = 8
+
 // keeper decides on the reports that it last read.
 type keeper struct {
 	cluster  *cluster
@@ -177,6 +180,7 @@
 	staging  map[string]formation.Staging
 	headless map[string]bool
 	sizes    map[string]int // of domains
+	loads    int            // that may begin and run at once; 0 means defaultLoads
 	// utilization is the share of a model's slots in use; nil means that all are.
 	utilization func(model string) float64
 }
@@ -202,9 +206,10 @@
 
 // decide returns the keeper's orders, each with the count in the worker's last report.
 func (k *keeper) decide() []sentOrder {
+	loads := cmp.Or(k.loads, defaultLoads)
 	in := formation.Input{
 		Now: k.cluster.now, Engine: k.cluster.engine, Forming: k.forming, Staging: k.staging, Headless: k.headless,
-		LoadBudget: 8, MaxConcurrentLoads: 8, DomainSizes: k.sizes, Utilization: k.utilization,
+		LoadBudget: loads, MaxConcurrentLoads: loads, DomainSizes: k.sizes, Utilization: k.utilization,
 		NewGroupName: func(model string) string {
 			k.cluster.namesUsed++
 			return formation.GroupName(model, fmt.Sprint(k.cluster.namesUsed))
