pkg/formation: the spares that a broken group's successor needs don't go to another model

Cause: from the close of a broken group until its members have left, its successor was not planned for. The members that were left counted as workers and not as a group, so that a group of another model fitted under the limit and took the spares; a spare with the weights of the broken group was also told to load those of the other model. Evidence: 'group formed' of the small model in the same decision as 'group closed' of the large one at 9.9 s and 15.3 s, and a load for the successor after it. Only a group whose head was lost had spares kept. Change: a group that lost members counts with its full size while its successor is worth waiting for; spares are kept for it whatever state its head is in, and keep their weights meanwhile.

--- a/pkg/formation/choose.go
+++ b/pkg/formation/choose.go
@@ -264,6 +264,9 @@
 		if _, staging := d.decision.Staging[id]; staging || w.Busy || w.Membership.State == roster.Joining || d.leaving[w.Domain] > 0 {
 			continue
 		}
+		if model, reserved := d.reserved[id]; reserved && w.HasStaged(model) {
+			continue
+		}
 		model, ok := d.modelForSpare(w)
 		switch {
 		case ok && d.LoadBudget > 0 && d.runningLoads() < d.MaxConcurrentLoads:
--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -163,11 +163,11 @@
 	byID        map[string]*Worker
 	groups      map[string][]*Worker // members of each group, by rank
 	free        map[string]*Worker   // workers that can join a group
-	reserved    map[string]*Worker   // free workers that are kept for a group with a lost head
+	reserved    map[string]string    // models of the groups whose successors free workers are kept for
 	inForming   map[string]bool      // members of the groups that are forming
 	groupCounts map[string]int       // groups that are open or forming, by model
 	leaving     map[string]int       // workers that are leaving their group, by domain
-	grouped     map[string]int       // members of groups that are open or forming, by domain
+	grouped     map[string]int       // workers that groups and their successors need, by domain
 	epoch       int64
 	decision    Decision
 }
@@ -180,7 +180,7 @@
 		byID:        map[string]*Worker{},
 		groups:      map[string][]*Worker{},
 		free:        map[string]*Worker{},
-		reserved:    map[string]*Worker{},
+		reserved:    map[string]string{},
 		inForming:   map[string]bool{},
 		groupCounts: map[string]int{},
 		leaving:     map[string]int{},
@@ -202,8 +202,8 @@
 	if !in.TakenOut {
 		for d.formGroup() {
 		}
-		for id, w := range d.reserved {
-			d.free[id] = w
+		for id := range d.reserved {
+			d.free[id] = d.byID[id]
 		}
 		d.prepareSpares()
 	}
--- a/pkg/formation/reserve.go
+++ b/pkg/formation/reserve.go
@@ -12,21 +12,45 @@
 	reserveUtilization = 0.7
 )
 
-// countDomains counts the workers of each domain and those of them that are in groups.
+// countDomains counts the workers of each domain and those that its groups need.
 func (d *decider) countDomains() {
 	for i := range d.Workers {
-		w := &d.Workers[i]
-		if w.Lost {
-			continue
-		}
-		d.decision.DomainSizes[w.Domain]++
-		if _, isFree := d.free[w.ID]; !isFree && !w.Draining && d.reserved[w.ID] == nil {
-			d.grouped[w.Domain]++
+		if w := &d.Workers[i]; !w.Lost {
+			d.decision.DomainSizes[w.Domain]++
 		}
 	}
 	for domain, size := range d.DomainSizes {
 		d.decision.DomainSizes[domain] = max(d.decision.DomainSizes[domain], size)
 	}
+	for _, f := range d.decision.Forming {
+		d.grouped[d.byID[f.Members[0]].Domain] += len(f.Members)
+	}
+	for group, members := range d.groups {
+		if _, forming := d.decision.Forming[group]; !forming {
+			d.grouped[members[0].Domain] += d.workersNeeded(group, members)
+		}
+	}
+}
+
+// workersNeeded returns how many workers of its domain an existing group needs. One that
+// lost members needs its full size again if it is to be replaced.
+func (d *decider) workersNeeded(group string, members []*Worker) int {
+	remaining := 0
+	for _, w := range members {
+		if !w.Lost && !w.Draining {
+			remaining++
+		}
+	}
+	if model, known := d.Engine.Model(ModelOf(group)); known && isReplaceable(model, remaining) {
+		return model.Size
+	}
+	return remaining
+}
+
+// isReplaceable reports whether enough members of a group remain for a successor of it to
+// be worth waiting for.
+func isReplaceable(model catalog.Model, remaining int) bool {
+	return model.Size-remaining <= model.Size/2
 }
 
 // takesReserve reports whether a new group of a model would leave a domain with too few
--- a/pkg/formation/settle.go
+++ b/pkg/formation/settle.go
@@ -128,6 +128,7 @@
 	switch {
 	case head == nil && d.Headless[group]:
 		d.releaseMembers(members)
+		d.reserveWorkers(model, members)
 		return
 	case head == nil || head.Lost:
 		d.reserveWorkers(model, members)
@@ -139,17 +140,22 @@
 	case roster.Broken:
 		d.addNote(Note{Group: group, Model: model.Name, Event: "dissolved", Reason: "its head is broken"})
 		d.releaseMembers(members)
+		d.reserveWorkers(model, members)
 	case roster.Open:
 		switch {
 		case !known || defect != "":
 			d.addNote(Note{Group: group, Model: model.Name, Event: "closed", Reason: defect})
 			d.addOrder(Order{Worker: head.ID, Operation: Close, Group: group, Epoch: epoch, Cancel: true, Reason: defect})
+			d.reserveWorkers(model, members)
 		case draining != "" && d.canReplaceDraining(model, members):
 			d.addNote(Note{Group: group, Model: model.Name, Event: "closed", Reason: draining})
 			d.addOrder(Order{Worker: head.ID, Operation: Close, Group: group, Epoch: epoch, Reason: draining})
+			d.reserveWorkers(model, members)
 		default:
 			d.groupCounts[model.Name]++
 		}
+	case roster.Closing:
+		d.reserveWorkers(model, members)
 	case roster.Joining, roster.Ready:
 		if known && defect == "" && draining == "" && allReady(members) {
 			d.addOrder(Order{Worker: head.ID, Operation: Open, Group: group, Epoch: epoch, Reason: "all members are ready"})
@@ -158,6 +164,7 @@
 		}
 		d.addNote(Note{Group: group, Model: model.Name, Event: "dissolved", Reason: cmp.Or(defect, draining, "no keeper is forming the group")})
 		d.orderLeave(head, group, epoch, cmp.Or(defect, draining, "no keeper is forming the group"))
+		d.reserveWorkers(model, members)
 	}
 }
 
@@ -216,9 +223,9 @@
 	}
 }
 
-// reserveWorkers keeps free workers of the domain for the successor of a group
-// whose head is lost. The other members become free soon, but stay in their group
-// for now, since the head may still be open.
+// reserveWorkers keeps free workers of the domain for the successor of a group that
+// ends. Its members become free soon, but stay in it for now, since the head may still
+// be open.
 func (d *decider) reserveWorkers(model catalog.Model, members []*Worker) {
 	remaining := 0
 	for _, w := range members {
@@ -226,16 +233,16 @@
 			remaining++
 		}
 	}
-	missing := model.Size - remaining
-	if missing > model.Size/2 {
+	if !isReplaceable(model, remaining) {
 		return
 	}
+	missing := model.Size - remaining
 	d.groupCounts[model.Name]++
 	for _, staged := range []bool{true, false} {
 		for _, id := range sortedKeys(d.free) {
 			w := d.free[id]
 			if missing > 0 && w.Domain == members[0].Domain && w.HasStaged(model.Name) == staged {
-				d.reserved[id] = w
+				d.reserved[id] = model.Name
 				delete(d.free, id)
 				missing--
 			}
