--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,9 @@
 	if res.detail != nil {
 		fields["error"] = res.detail.Error()
 	}
+	if len(q.call.SharedParts) > 0 {
+		fields["shared_parts"] = q.call.SharedParts
+	}
 	q.trace.Add("attempt failed", fields)
 	q.gateway.Metrics.Failures.WithLabelValues(res.reason).Inc()
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -7,10 +7,13 @@
 
 // Call holds what the headers of a client's request say.
 type Call struct {
-	ID                   string
-	Key                  string        // API key of the client account; empty if none was sent
-	Deadline             time.Duration // time that the client waits; 0 if not stated
-	Model                string
+	ID       string
+	Key      string        // API key of the client account; empty if none was sent
+	Deadline time.Duration // time that the client waits; 0 if not stated
+	Model    string
+	// SharedParts identifies the parts of the prompt that other prompts may have too, in
+	// their order.
+	SharedParts          []string
 	PromptTokens         int   // tokens in the prompt
 	MaxAnswerTokens      int   // most tokens in the answer; 0 if not stated
 	ExpectedAnswerTokens int   // tokens in the answer that the client expects; 0 if not stated
