pkg/poison, internal/gateway: requests with a part of a prompt that crashes backend servers are refused

Cause: nothing connected the crashes with what their requests have in common. Each request with the deadly part was sent, and sent again, as if it were sound; an instance alone sees one or two in five crashes. Evidence: of 28 attempts with the part, 25 broke off after the head of the answer and before an event; of 683 attempts of other requests that broke off, none did. Excluded: retries alone (18 first attempts are above the three allowed). Change: pkg/poison counts, for each shared part, the crashes right after the beginning of an answer, and blocks a part after three of two requests or more, if no answer with the part went on since while others of the model did. A beginning that sound prompts share isn't blocked for what a later part explains. Instances exchange suspects in digests; requests are refused with 503 and the end of the block before they are sent, also after a wait and before a second attempt.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,9 @@
 // tryOnce waits for a place, sends the request there and passes the answer on.
 func (q *request) tryOnce(ctx context.Context, s *streamState) attemptResult {
 	g := q.gateway
+	if refused := q.blockedRefusal(); refused != nil {
+		return attemptResult{next: stepGiveUp, refusal: *refused}
+	}
 	ticket := q.newTicket(s)
 	waitStart := time.Now()
 	d, err := g.Places.Acquire(ctx, ticket)
@@ -73,6 +76,9 @@
 	if q.permissionExpired() {
 		return attemptResult{next: stepGiveUp, refusal: *q.staleRefusal()}
 	}
+	if refused := q.blockedRefusal(); refused != nil { // a part may have been blocked while the request waited
+		return attemptResult{next: stepGiveUp, refusal: *refused}
+	}
 	q.trace.Add("placed", telemetry.Fields{
 		"place": d.Place.ID, "data_centre": d.Place.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(waitStart).Milliseconds(),
 		"running": d.Running, "free": d.FreeSlots, "waiting": d.Waiting, "prompt": q.call.PromptTokens, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
@@ -138,6 +144,8 @@
 	ticket *dispatch.Ticket
 	cancel context.CancelCauseFunc
 	state  *streamState
+	begun  bool // the backend server has sent the head of a stream
+	events int  // that it has sent
 }
 
 // run sends the request to the backend server of the attempt and passes the answer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,7 @@
 func (v View) Age() time.Duration { return boottime.Now() - v.ConfirmedAt }
 
 // Gateway serves client requests. All exported fields must be set, except Log, without
-// which nothing is logged, and Retries.
+// which nothing is logged, Retries and Suspects.
 type Gateway struct {
 	DataCentre string
 	Dialect    Dialect
@@ -46,6 +46,8 @@
 	StaleAfter time.Duration
 	// Retries limits the attempts after the first one, for each service.
 	Retries Retries
+	// Suspects finds the parts of prompts that crash backend servers.
+	Suspects Suspects
 
 	stopping atomic.Bool
 	open     atomic.Int64 // number of requests in progress
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,8 +38,8 @@
 		return attemptResult{next: stepRetry, mayBeReceived: true, reason: "answer is not the server's"}, dispatch.Failed
 	}
 	a.setWriteDeadline()
+	a.begun = true
 	reader := newEventReader(answer.Body)
-	started := false
 	var repeated int64
 	for {
 		e, err := reader.next()
@@ -51,10 +51,12 @@
 			return a.failIncomplete(ctx, err)
 		}
 		g.Progress.noteEvent(a.server.ID, now)
-		if !started {
-			started = true
+		if a.events++; a.events == 1 {
 			g.Places.NoteFirstEvent(a.ticket)
 		}
+		if a.events == soundEvents {
+			g.Suspects.noteAnswer(a.prompt())
+		}
 		if e.hasID {
 			if e.id <= s.lastEvent {
 				if repeated++; repeated > s.lastEvent {
@@ -84,6 +86,9 @@
 	if !s.headSent {
 		a.beginStream(answer)
 	}
+	if a.events < soundEvents {
+		g.Suspects.noteAnswer(a.prompt())
+	}
 	a.trace.Add("answered", telemetry.Fields{
 		"place": a.server.ID, "status": http.StatusOK, "last_event": s.lastEvent,
 		"first_event_ms": s.firstEventAfter.Milliseconds(), "longest_pause_ms": s.longestPause.Milliseconds(),
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -58,6 +58,7 @@
 		StalledHeads:     i.gateway.Progress.Stalled(),
 		FailingHeads:     i.gateway.Places.Failing(),
 		ProgressingHeads: i.gateway.Progress.Moving(time.Now()),
+		Suspects:         suspectsOf(i.gateway.Suspects.Reports()),
 	}
 	i.mu.Lock()
 	for id, at := range i.reachedAt {
@@ -133,6 +134,9 @@
 		i.gateway.Places.SetPeerLoads(d.Instance, loads)
 	}
 	i.gateway.Places.SetFailing(d.FailingHeads)
+	if len(d.Suspects) > 0 {
+		i.gateway.Suspects.Merge(reportsOf(d))
+	}
 	if len(d.SilentHeads) > 0 {
 		select {
 		case i.silentHeads <- struct{}{}:
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +107,11 @@
 			return newRefusal(OutOfRange, "load of %d requests and %d prompt tokens is out of range", l.Running, l.Reading)
 		}
 	}
+	for _, s := range d.Suspects {
+		if !isValidCount(s.Depth) || !isValidAge(s.ClearedAge) || slices.ContainsFunc(s.Crashes, func(c Crash) bool { return !isValidAge(c.Age) }) {
+			return newRefusal(OutOfRange, "the position or an age of the suspected part %q is out of range", s.Part)
+		}
+	}
 	for p := range d.allPlaces() {
 		if !isValidCount(p.Slots) || p.Cold < 0 || p.Cold > maxCold.Milliseconds() {
 			return newRefusal(OutOfRange, "place with %d slots and %d ms of cold start is out of range", p.Slots, p.Cold)
@@ -131,6 +137,9 @@
 	for range d.allPlaces() {
 		n++
 	}
+	for _, s := range d.Suspects {
+		n += 1 + len(s.Crashes)
+	}
 	for i := range d.Relayed {
 		n += 1 + d.Relayed[i].entryCount()
 	}
@@ -194,6 +203,11 @@
 			return false
 		}
 	}
+	for _, s := range d.Suspects {
+		if !visitAll(s.Part, s.Model) {
+			return false
+		}
+	}
 	for _, e := range d.Echoes {
 		if !visit(e.Instance) {
 			return false
--- a/internal/neighbour/check_test.go
+++ b/internal/neighbour/check_test.go
@@ -68,6 +68,13 @@
 		{"negative load", func(d *Digest) { d.Load = []Load{{Place: "w", Running: -1}} }, OutOfRange},
 		{"load that overflows a sum", func(d *Digest) { d.Load = []Load{{Place: "w", Reading: math.MaxInt64}} }, OutOfRange},
 		{"negative slots", func(d *Digest) { d.Places = []Place{{Server: "w", Slots: -1}} }, OutOfRange},
+		{"suspected part at a negative position", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Depth: -1}} }, OutOfRange},
+		{"suspected part cleared in the future", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Cleared: true, ClearedAge: -1}} }, OutOfRange},
+		{"crash whose age overflows", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Crashes: []Crash{{Age: math.MaxInt64}}}} }, OutOfRange},
+		{"long name of a suspected part", func(d *Digest) { d.Suspects = []Suspect{{Part: strings.Repeat("p", maxNameBytes+1)}} }, BadName},
+		{"too many crashes", func(d *Digest) {
+			d.Suspects = []Suspect{{Part: "p", Crashes: make([]Crash, maxEntries)}}
+		}, TooManyEntries},
 		{"cold start never ends", func(d *Digest) { d.OtherDataCentres = map[string][]Place{"b": {{Server: "w", Cold: math.MaxInt64}}} }, OutOfRange},
 		{"no name", func(d *Digest) { d.Instance = "" }, BadName},
 		{"long instance name", func(d *Digest) { d.Instance = strings.Repeat("x", maxNameBytes+1) }, BadName},
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -80,6 +80,8 @@
 	Packed *packedPlaces `cbor:"31,keyasint,omitempty"`
 	// FailingHeads lists the heads that have lately failed most requests of the sender.
 	FailingHeads []string `cbor:"32,keyasint,omitempty"`
+	// Suspects lists parts of prompts that may crash backend servers.
+	Suspects []Suspect `cbor:"33,keyasint,omitempty"`
 	// Weight is the sender's weight in the choice of its data centre's keeper.
 	Weight int `cbor:"30,keyasint,omitempty"`
 
@@ -118,6 +120,25 @@
 	Cold    int64 // milliseconds until its cold start ends
 }
 
+// Suspect is a part of prompts that may crash backend servers. Ages are in milliseconds.
+type Suspect struct {
+	_          struct{} `cbor:",toarray"`
+	Part       string
+	Depth      int // position of the part in prompts
+	Model      string
+	Cleared    bool // a request with the part was answered ClearedAge ago
+	ClearedAge int64
+	Crashes    []Crash
+}
+
+// Crash is a crash of a backend server under a request with a suspected part.
+type Crash struct {
+	_       struct{} `cbor:",toarray"`
+	Server  uint32   // hash
+	Request uint32   // hash
+	Age     int64
+}
+
 // Gone is a worker whose entry in the store's list was removed or marked as
 // draining.
 type Gone struct {
--- a/internal/neighbour/relay.go
+++ b/internal/neighbour/relay.go
@@ -165,6 +165,7 @@
 			d.Load = nil
 		}
 		d.OtherDataCentres, d.StalledHeads, d.ProgressingHeads, d.ReachedHeads, d.SilentHeads, d.SilentHeadStarts = nil, nil, nil, nil, nil, nil
+		d.Suspects = nil // those of this relay include them
 		digests = append(digests, d)
 	}
 	slices.SortFunc(digests, func(a, b Digest) int {
