internal/gateway: a refusal without an ID on a reused connection answers no request

Cause: an answer without an ID counted as this request's if it said that it hasn't run, also on a reused connection. A worker that writes an earlier refusal once more there has begun with the request. Change: on a reused connection only an answer with the request's ID is its own; others are skipped, as before for other answers. Test: TestEarlierRefusalOnAKeptConnection; 'without an ID' was red (503 for a request that ran). A refusal with the other request's ID was skipped before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -236,5 +236,5 @@
 	}
 	// Without an ID, an answer on a reused connection may be a late answer to an
 	// earlier request.
-	return !reused || meta.NotRun
+	return !reused
 }
