internal/gateway: what precedes the rest of a resumed stream is not passed on

Cause: a resumed attempt's answer with status 200 was passed on event by event. An event without an ID, as which a text or JSON with a blank line is read, went to the client, and when the answer ended there the stream looked complete. Change: until an event follows the last one that the client has, events without an ID are left out; an answer that ends with nothing else counts as broken off. Answers with other statuses were refused before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,7 @@
 	a.begun = true
 	reader := newEventReader(answer.Body)
 	var repeated int64
+	continued := !s.headSent // the answer goes on after the last event that the client received
 	for {
 		e, err := reader.next()
 		now := time.Now()
@@ -60,6 +61,9 @@
 		if a.events == soundEvents {
 			g.Suspects.noteAnswer(a.prompt())
 		}
+		if !e.hasID && !continued {
+			continue // such as an error; the rest of the stream begins with the next ID
+		}
 		if e.hasID {
 			if e.id <= s.lastEvent {
 				if repeated++; repeated > s.lastEvent {
@@ -70,6 +74,7 @@
 			if s.lastEvent > 0 && e.id != s.lastEvent+1 {
 				return a.failIncomplete(ctx, errGap)
 			}
+			continued = true
 		}
 		if err := a.writeEvent(e, answer, reader.hasBuffered()); err != nil {
 			return attemptResult{next: stepFinish, err: errors.Wrap(err, "writing an event to the client")}, dispatch.Canceled
@@ -86,6 +91,9 @@
 		}
 		s.lastEventAt = now
 	}
+	if !continued && a.events > 0 && repeated == 0 {
+		return a.failIncomplete(ctx, errGap)
+	}
 	if !s.headSent {
 		a.beginStream(answer)
 	}
