pkg/dispatch, internal/gateway: backend servers that leave or ask for a rest get no requests

Cause: nothing read Server-Leaving, nor the Retry-After of a 503. Leaving was learnt from the store's list, and a server that turned requests away was avoided for 150 ms. Change: a server's own word bars it, in its run, as one more condition of a place; the same rule binds first attempts, retries, resumed streams, keyed requests and waiting ones. If no place will be open in time, the request is refused at once with the time from which one is. Log 'place barred', counter bars_total.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,8 +85,8 @@
 	})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, ticket: ticket, cancel: cancel, state: s}
-	res, dispatchResult := a.run(ctx, remaining)
+	a := &attempt{request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, run: d.Place.Run, ticket: ticket, cancel: cancel, state: s}
+	res, dispatchResult := a.send(ctx, remaining)
 	result = dispatchResult
 	if res.next == stepRetry {
 		q.tried = append(q.tried, d.Place.ID)
@@ -141,6 +141,7 @@
 type attempt struct {
 	*request
 	server exchange.Server
+	run    int64 // of the server
 	ticket *dispatch.Ticket
 	cancel context.CancelCauseFunc
 	state  *streamState
@@ -148,9 +149,9 @@
 	events int  // that it has sent
 }
 
-// run sends the request to the backend server of the attempt and passes the answer
+// send sends the request to the backend server of the attempt and passes the answer
 // on to the client.
-func (a *attempt) run(ctx context.Context, remaining time.Duration) (attemptResult, dispatch.Result) {
+func (a *attempt) send(ctx context.Context, remaining time.Duration) (attemptResult, dispatch.Result) {
 	q, g := a.request, a.gateway
 	h := make(http.Header, len(q.header)+4)
 	for name, values := range q.header {
@@ -170,7 +171,7 @@
 	answer, err := g.Pool.Do(a.withAnswerTimeout(ctx), a.server, &exchange.Request{
 		Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body,
 		NeedsFreshConn: !q.route.Repeatable(),
-		OwnsAnswer:     func(status int, h http.Header, reused bool) bool { return q.ownsAnswer(status, h, reused) },
+		OwnsAnswer:     a.ownsAnswer,
 	})
 	if exchange.NotSent(err) {
 		if ctx.Err() == nil {
@@ -228,13 +229,27 @@
 	return ctx
 }
 
-// ownsAnswer reports whether an answer belongs to this request.
-func (q *request) ownsAnswer(status int, h http.Header, reused bool) bool {
-	meta := q.gateway.Dialect.ParseAnswer(status, h)
+// ownsAnswer reports whether an answer belongs to this request. What an answer says of
+// the server counts either way.
+func (a *attempt) ownsAnswer(status int, h http.Header, reused bool) bool {
+	meta := a.gateway.Dialect.ParseAnswer(status, h)
+	a.noteWord(meta)
 	if meta.RequestID != "" {
-		return meta.RequestID == q.call.ID
+		return meta.RequestID == a.call.ID
 	}
 	// Without an ID, an answer on a reused connection may be a late answer to an
 	// earlier request.
 	return !reused
 }
+
+// noteWord records and logs what an answer says about requests to its server.
+func (a *attempt) noteWord(meta AnswerMeta) {
+	cause, isNew := a.gateway.Places.noteWord(a.server.ID, a.run, meta)
+	if !isNew {
+		return
+	}
+	a.gateway.Metrics.Bars.WithLabelValues(cause.String()).Inc()
+	a.gateway.Log.Info("place barred", telemetry.Fields{
+		"place": a.server.ID, "run": a.run, "cause": cause.String(), "rest_ms": meta.Rest.Milliseconds(), "request": a.call.ID,
+	})
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -36,6 +36,10 @@
 	NotRun    bool   // the server did not run the request and never will, so that a retry is safe
 	Signed    bool   // the answer carries the server's signature header
 	Encoded   bool   // the body has a content encoding, so it is not what the server produced
+	Leaving   bool   // the server leaves and wants no further requests
+	// Rest is how long the server wants no further requests from this instance; 0 if it
+	// doesn't say so.
+	Rest time.Duration
 }
 
 // Dialect translates between the gateway and the header conventions of clients and
--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -59,6 +59,9 @@
 				continue
 			}
 			p.ColdRate = service.ColdRate
+			if s, listed := l.List.Roster().Server(p.ID); listed {
+				p.Run = s.StartUnixMilli
+			}
 			usable = append(usable, UsablePlace{Place: p, DecidedBy: announcement.Statement})
 		}
 	}
@@ -68,7 +71,7 @@
 			continue
 		}
 		p := dispatch.Place{
-			ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Address: s.Address, Slots: max(s.Slots, 1),
+			ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Address: s.Address, Run: s.StartUnixMilli, Slots: max(s.Slots, 1),
 			ColdUntil: s.ColdUntil, ColdRate: service.ColdRate,
 		}
 		if service.Engine != nil {
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -153,6 +153,21 @@
 	p.scheduler.AvoidUntil(id, time.Now().Add(d))
 }
 
+// noteWord records what a server's answer says about requests to it, and reports for
+// which cause it gets none that it got before.
+func (p *Places) noteWord(id string, run int64, meta AnswerMeta) (cause dispatch.BarCause, isNew bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	switch {
+	case meta.Leaving:
+		return dispatch.Leaving, p.scheduler.NoteLeaving(now, id, run)
+	case meta.Rest > 0:
+		return dispatch.Resting, p.scheduler.NoteRest(now, id, run, meta.Rest)
+	}
+	return cause, false
+}
+
 // Peers describes the processes that send requests to the same places.
 type Peers struct {
 	Instance string        // name of this process
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -31,6 +31,7 @@
 // Reasons of refusals.
 const (
 	ReasonNoPlace = "no place serves it"
+	ReasonResting = "all places asked for a rest"
 	ReasonFull    = "more waits than can be served in time"
 	ReasonExpired = "no place became free in time"
 )
@@ -69,6 +70,7 @@
 	arrivals       map[serviceModel]*arrivalRate
 	meanRunTimes   map[serviceModel]time.Duration
 	firstEvents    map[serviceModel]*firstEventTimes
+	bars           map[string]bar // by ID of the server
 }
 
 // peerLoads holds the loads that a peer reported.
@@ -220,9 +222,14 @@
 	}
 	s.arrivals[k].add(now)
 	d := s.newDecision(k, t)
-	if d.Places == 0 {
+	openAt, open := s.openAgainAt(now, t)
+	switch {
+	case d.Places == 0, !open:
 		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonNoPlace, noPlaceRetryAfter
 		return d
+	case !openAt.Before(t.LatestStart) && openAt.After(now):
+		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonResting, openAt.Sub(now)
+		return d
 	}
 	if p := s.bestPlace(now, t); p != nil && !s.outranked(now, k, t) {
 		d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
@@ -276,6 +283,9 @@
 		if !p.free() || now.Before(p.avoidUntil) || t.tried(p.ID) || !s.allowsCold(now, p) {
 			continue
 		}
+		if _, barred := s.barred(now, p); barred {
+			continue
+		}
 		if score := p.score(t, now) + p.bias(t, now, spread); best == nil || score < bestScore {
 			best, bestScore = p, score
 		}
@@ -341,13 +351,12 @@
 }
 
 // RemoveExpired removes and returns the waiting tickets whose latest start has passed, and
-// those for whose service and model there are no places any more.
+// those for whose service and model no place is there or will be open by then.
 func (s *Scheduler) RemoveExpired(now time.Time) []*Ticket {
 	var expired []*Ticket
 	for k, waiting := range s.waiting {
-		noPlaces := len(s.byServiceModel[k]) == 0
 		s.waiting[k] = slices.DeleteFunc(waiting, func(t *Ticket) bool {
-			if now.Before(t.LatestStart) && !noPlaces {
+			if openAt, open := s.openAgainAt(now, t); open && openAt.Before(t.LatestStart) {
 				return false
 			}
 			t.waiting = false
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -24,3 +24,4 @@
 package dispatch
 
 //go:generate go tool stringer -type=Verdict
+//go:generate go tool stringer -type=BarCause
