internal/gateway: the test of servers that want no requests also has each alone

Each case now also has the server as the only place; all five are red there without the change. The requests of these tests have 5 s to start, not an hour, so that what can't be served shows as a refusal.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -20,7 +21,11 @@
 	"github.com/chicorystall/chicorystall/pkg/retry"
 )
 
-const deadlyPart = "deadly"
+const (
+	deadlyPart = "deadly"
+	// promptObjective is the time within which requests of newPromptGateway have to start.
+	promptObjective = 5 * time.Second
+)
 
 // crashingServers are backend servers that break off the answer to each request with
 // deadlyPart once its head is sent.
@@ -60,7 +65,7 @@
 	c := catalog.New(catalog.Content{
 		Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "m", Size: 1}}}}},
 		Routes: []catalog.Route{{
-			Name: "r", Host: "app.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, Anonymous: true, Objective: clientDeadline, MaxAttempts: 2,
+			Name: "r", Host: "app.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, Anonymous: true, Objective: promptObjective, MaxAttempts: 2,
 			Targets: []catalog.Target{{Service: "s", Weight: 1}},
 		}},
 	})
--- a/internal/gateway/word_test.go
+++ b/internal/gateway/word_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -57,27 +58,50 @@
 		{"a rest, in a refusal", http.StatusServiceUnavailable, rest, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
+			const requests = 4
 			wordy := newWordyServer(t, c.status, c.header, c.events)
-			sound := newWordyServer(t, http.StatusOK, nil, 3)
-			gw := newPromptGateway([]dispatch.Place{
-				{ID: "wordy", Service: "s", Model: "m", DataCentre: "near", Address: wordy.Listener.Addr().String(), Slots: 4},
-				{ID: "sound", Service: "s", Model: "m", DataCentre: "far", Address: sound.Listener.Addr().String(), Slots: 4},
+			places := []dispatch.Place{{ID: "wordy", Service: "s", Model: "m", DataCentre: "near", Address: wordy.Listener.Addr().String(), Slots: 4}}
+			t.Run("others are there", func(t *testing.T) {
+				g := NewWithT(t)
+				sound := newWordyServer(t, http.StatusOK, nil, 3)
+				front := newWordyFront(t, append(places, dispatch.Place{
+					ID: "sound", Service: "s", Model: "m", DataCentre: "far", Address: sound.Listener.Addr().String(), Slots: 4,
+				}))
+				for n := range requests {
+					status, whole := sendPrompt(g, front, fmt.Sprint("r", n), "common")
+					g.Expect(status).To(Equal(http.StatusOK))
+					g.Expect(whole).To(BeTrue(), "a stream whose head says that its server leaves goes on to its end")
+				}
+				g.Expect(wordy.requests.Load()).To(BeEquivalentTo(1))
+			})
+			t.Run("it is the only one", func(t *testing.T) {
+				g := NewWithT(t)
+				wordy.requests.Store(0)
+				front := newWordyFront(t, places)
+				sendPrompt(g, front, "first", "common")
+				for n := range requests {
+					status, _ := sendPrompt(g, front, fmt.Sprint("r", n), "common")
+					g.Expect(status).To(Equal(http.StatusServiceUnavailable), "it can't be served, so it is refused at once")
+				}
+				g.Expect(wordy.requests.Load()).To(BeEquivalentTo(1))
 			})
-			gw.Dialect.ParseAnswer = func(status int, h http.Header) gateway.AnswerMeta {
-				meta := testDialect.ParseAnswer(status, h)
-				meta.Leaving, meta.NotRun = h.Get("Leaving") != "", h.Get("Not-Run") != ""
-				meta.Rest, _ = time.ParseDuration(h.Get("Rest"))
-				return meta
-			}
-			front := httptest.NewServer(gw)
-			defer front.Close()
-			for n := range 8 {
-				status, whole := sendPrompt(g, front.URL, fmt.Sprint("r", n), "common")
-				g.Expect(status).To(Equal(http.StatusOK))
-				g.Expect(whole).To(BeTrue(), "a stream whose head says that its server leaves goes on to its end")
-			}
-			g.Expect(wordy.requests.Load()).To(BeEquivalentTo(1))
 		})
 	}
 }
+
+// newWordyFront returns the address of a gateway that reads the words of wordy servers.
+func newWordyFront(t *testing.T, places []dispatch.Place) string {
+	gw := newPromptGateway(places)
+	gw.Dialect.ParseAnswer = func(status int, h http.Header) gateway.AnswerMeta {
+		meta := testDialect.ParseAnswer(status, h)
+		meta.Leaving, meta.NotRun = h.Get("Leaving") != "", h.Get("Not-Run") != ""
+		meta.Rest, _ = time.ParseDuration(h.Get("Rest")) // 0 without the header
+		return meta
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go gw.Places.Run(ctx)
+	front := httptest.NewServer(gw)
+	t.Cleanup(front.Close)
+	return front.URL
+}
