pkg/dispatch, internal/neighbour: instances tell each other of servers that said that they leave

Cause: each instance learnt it from an answer of its own, so that the first request of each went to the leaving server. Change: digests list the runs of servers that said so to the sender in the last 3 s, the newest 64; relays pass on what their members tell. What a peer told isn't told again, so that it ends.

--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -168,6 +168,21 @@
 	return cause, false
 }
 
+// LeavingServers returns the servers that lately said to this process that they leave.
+func (p *Places) LeavingServers() []dispatch.LeavingServer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.LeavingServers(time.Now())
+}
+
+// NotePeerLeaving records that a server said to a peer that it leaves, and reports
+// whether that is news.
+func (p *Places) NotePeerLeaving(server dispatch.LeavingServer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.NotePeerLeaving(time.Now(), server)
+}
+
 // Peers describes the processes that send requests to the same places.
 type Peers struct {
 	Instance string        // name of this process
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -60,6 +60,9 @@
 		ProgressingHeads: i.gateway.Progress.Moving(time.Now()),
 		Suspects:         suspectsOf(i.gateway.Suspects.Reports()),
 	}
+	for _, s := range i.gateway.Places.LeavingServers() {
+		d.LeavingServers = append(d.LeavingServers, neighbour.LeavingServer{Server: s.ID, Run: s.Run})
+	}
 	i.mu.Lock()
 	for id, at := range i.reachedAt {
 		if time.Since(at) >= reachableFor {
@@ -134,6 +137,11 @@
 		i.gateway.Places.SetPeerLoads(d.Instance, loads)
 	}
 	i.gateway.Places.SetFailing(d.FailingHeads)
+	for _, s := range d.LeavingServers {
+		if i.gateway.Places.NotePeerLeaving(dispatch.LeavingServer{ID: s.Server, Run: s.Run}) {
+			i.log.Info("place barred", telemetry.Fields{"place": s.Server, "run": s.Run, "cause": dispatch.Leaving.String(), "told_by": d.Instance})
+		}
+	}
 	if len(d.Suspects) > 0 {
 		i.gateway.Suspects.Merge(reportsOf(d))
 	}
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -133,7 +133,7 @@
 
 // entryCount returns the number of entries in all lists together.
 func (d *Digest) entryCount() int {
-	n := len(d.Load) + len(d.StalledHeads) + len(d.ProgressingHeads) + len(d.SilentHeads) + len(d.ReachedHeads) + len(d.FailingHeads) + len(d.SilentHeadStarts) + len(d.Gone) + len(d.Echoes) + len(d.OtherDataCentres)
+	n := len(d.Load) + len(d.StalledHeads) + len(d.ProgressingHeads) + len(d.SilentHeads) + len(d.ReachedHeads) + len(d.FailingHeads) + len(d.LeavingServers) + len(d.SilentHeadStarts) + len(d.Gone) + len(d.Echoes) + len(d.OtherDataCentres)
 	for range d.allPlaces() {
 		n++
 	}
@@ -208,6 +208,11 @@
 			return false
 		}
 	}
+	for _, s := range d.LeavingServers {
+		if !visit(s.Server) {
+			return false
+		}
+	}
 	for _, e := range d.Echoes {
 		if !visit(e.Instance) {
 			return false
--- a/internal/neighbour/check_test.go
+++ b/internal/neighbour/check_test.go
@@ -72,6 +72,8 @@
 		{"suspected part cleared in the future", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Cleared: true, ClearedAge: -1}} }, OutOfRange},
 		{"crash whose age overflows", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Crashes: []Crash{{Age: math.MaxInt64}}}} }, OutOfRange},
 		{"long name of a suspected part", func(d *Digest) { d.Suspects = []Suspect{{Part: strings.Repeat("p", maxNameBytes+1)}} }, BadName},
+		{"long name of a leaving server", func(d *Digest) { d.LeavingServers = []LeavingServer{{Server: strings.Repeat("s", maxNameBytes+1)}} }, BadName},
+		{"too many leaving servers", func(d *Digest) { d.LeavingServers, d.ReachedHeads = make([]LeavingServer, maxEntries), []string{"w"} }, TooManyEntries},
 		{"too many crashes", func(d *Digest) {
 			d.Suspects = []Suspect{{Part: "p", Crashes: make([]Crash, maxEntries)}}
 		}, TooManyEntries},
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -82,6 +82,8 @@
 	FailingHeads []string `cbor:"32,keyasint,omitempty"`
 	// Suspects lists parts of prompts that may crash backend servers.
 	Suspects []Suspect `cbor:"33,keyasint,omitempty"`
+	// LeavingServers lists the backend servers that lately said to the sender that they leave.
+	LeavingServers []LeavingServer `cbor:"34,keyasint,omitempty"`
 	// Weight is the sender's weight in the choice of its data centre's keeper.
 	Weight int `cbor:"30,keyasint,omitempty"`
 
@@ -120,6 +122,13 @@
 	Cold    int64 // milliseconds until its cold start ends
 }
 
+// LeavingServer is a run of a backend server that said that it leaves.
+type LeavingServer struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Run    int64 // 0 if not known
+}
+
 // Suspect is a part of prompts that may crash backend servers. Ages are in milliseconds.
 type Suspect struct {
 	_          struct{} `cbor:",toarray"`
--- a/internal/neighbour/relay.go
+++ b/internal/neighbour/relay.go
@@ -105,8 +105,13 @@
 		d.ProgressingHeads = append(d.ProgressingHeads, m.ProgressingHeads...)
 		d.ReachedHeads = append(d.ReachedHeads, m.ReachedHeads...)
 		d.FailingHeads = append(d.FailingHeads, m.FailingHeads...)
+		d.LeavingServers = append(d.LeavingServers, m.LeavingServers...)
 	}
 	d.FailingHeads = unique(d.FailingHeads)
+	slices.SortFunc(d.LeavingServers, func(a, b LeavingServer) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Run, b.Run))
+	})
+	d.LeavingServers = slices.Compact(d.LeavingServers)
 	d.StalledHeads, d.ProgressingHeads, d.ReachedHeads = unique(d.StalledHeads), unique(d.ProgressingHeads), unique(d.ReachedHeads)
 }
 
--- a/internal/neighbour/relay_test.go
+++ b/internal/neighbour/relay_test.go
@@ -300,3 +300,16 @@
 		w.expectAgreement()
 	})
 }
+
+// What members saw of servers reaches the whole data centre and the other relays.
+func TestRelayPassesOnWhatServersSaid(t *testing.T) {
+	g := NewWithT(t)
+	leaving := func(run int64) []LeavingServer { return []LeavingServer{{Server: "s", Run: run}} }
+	d := Digest{FailingHeads: []string{"h"}, LeavingServers: leaving(1)}
+	summarize(&d, []Digest{
+		{FailingHeads: []string{"h", "i"}, LeavingServers: leaving(1)},
+		{LeavingServers: leaving(2)},
+	})
+	g.Expect(d.FailingHeads).To(Equal([]string{"h", "i"}))
+	g.Expect(d.LeavingServers).To(Equal(append(leaving(1), leaving(2)...)))
+}
--- a/pkg/dispatch/bar.go
+++ b/pkg/dispatch/bar.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // BarCause is why a place gets no requests although it is listed.
 type BarCause int
@@ -15,6 +19,9 @@
 	// leavingTime is how long the word of a server that it leaves counts. It exceeds the
 	// time for which a leaving server goes on serving.
 	leavingTime = 10 * time.Minute
+	// leavingReportTime is how long peers are told of a server's last word that it leaves.
+	leavingReportTime = 3 * time.Second
+	maxLeavingReports = 64 // in one report
 	// maxRestTime is the longest rest that a server can ask for.
 	maxRestTime = 10 * time.Minute
 	maxBars     = 4096 // servers that are remembered; the target size has 840
@@ -22,15 +29,46 @@
 
 // bar is the time for which a server's own word keeps requests from it.
 type bar struct {
-	run   int64 // of the server that said so; 0 if not known
-	until time.Time
-	cause BarCause
+	run         int64 // of the server that said so; 0 if not known
+	until       time.Time
+	cause       BarCause
+	reportUntil time.Time // until when peers are told; zero if a peer told this instance
+}
+
+// LeavingServer is a run of a server that said that it leaves.
+type LeavingServer struct {
+	ID  string
+	Run int64 // 0 if not known
 }
 
 // NoteLeaving records that a server said that it leaves, in its run. It reports whether
 // that is news.
 func (s *Scheduler) NoteLeaving(now time.Time, id string, run int64) bool {
-	return s.bar(now, id, bar{run: run, until: now.Add(leavingTime), cause: Leaving})
+	return s.bar(now, id, bar{run: run, until: now.Add(leavingTime), cause: Leaving, reportUntil: now.Add(leavingReportTime)})
+}
+
+// NotePeerLeaving is like NoteLeaving for a server that said so to a peer.
+func (s *Scheduler) NotePeerLeaving(now time.Time, server LeavingServer) bool {
+	return s.bar(now, server.ID, bar{run: server.Run, until: now.Add(leavingTime), cause: Leaving})
+}
+
+// LeavingServers returns the servers to tell the peers of: those that lately said to this
+// instance that they leave, the newest maxLeavingReports.
+func (s *Scheduler) LeavingServers(now time.Time) []LeavingServer {
+	var ids []string
+	for id, b := range s.bars {
+		if b.cause == Leaving && now.Before(b.reportUntil) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(x, y string) int {
+		return cmp.Or(s.bars[y].reportUntil.Compare(s.bars[x].reportUntil), cmp.Compare(x, y))
+	})
+	var servers []LeavingServer
+	for _, id := range ids[:min(len(ids), maxLeavingReports)] {
+		servers = append(servers, LeavingServer{ID: id, Run: s.bars[id].run})
+	}
+	return servers
 }
 
 // NoteRest records that a server asked this instance for no requests for some time, in
@@ -45,8 +83,13 @@
 	if holds && known.cause == Leaving && next.cause == Resting {
 		return false // it won't come back
 	}
-	if holds && known.cause == next.cause && known.until.After(next.until) {
-		next.until = known.until
+	if holds && known.cause == next.cause {
+		if known.until.After(next.until) {
+			next.until = known.until
+		}
+		if known.reportUntil.After(next.reportUntil) {
+			next.reportUntil = known.reportUntil
+		}
 	}
 	if !ok && len(s.bars) >= maxBars {
 		s.expireBars(now)
--- a/pkg/dispatch/bar_test.go
+++ b/pkg/dispatch/bar_test.go
@@ -137,3 +137,49 @@
 	g.Expect(noted).To(Equal(4096))
 	g.Expect(s.NoteRest(start.Add(time.Minute), "later", 1, time.Second)).To(BeTrue(), "ended bars make room")
 }
+
+func TestLeavingServersAreToldToPeers(t *testing.T) {
+	h := dispatch.LeavingServer{ID: "h", Run: 1}
+	for _, c := range []struct {
+		name  string
+		say   func(*dispatch.Scheduler)
+		after time.Duration
+		want  []dispatch.LeavingServer
+	}{
+		{"said here", func(s *dispatch.Scheduler) { s.NoteLeaving(start, "h", 1) }, time.Second, []dispatch.LeavingServer{h}},
+		{"said here a while ago", func(s *dispatch.Scheduler) { s.NoteLeaving(start, "h", 1) }, 3 * time.Second, nil},
+		{"said here again", func(s *dispatch.Scheduler) {
+			s.NoteLeaving(start, "h", 1)
+			s.NoteLeaving(start.Add(2*time.Second), "h", 1)
+		}, 3 * time.Second, []dispatch.LeavingServer{h}},
+		{"told by a peer", func(s *dispatch.Scheduler) { s.NotePeerLeaving(start, h) }, 0, nil},
+		{"said here, then told by a peer", func(s *dispatch.Scheduler) {
+			s.NoteLeaving(start, "h", 1)
+			s.NotePeerLeaving(start.Add(time.Second), h)
+		}, time.Second, []dispatch.LeavingServer{h}},
+		{"asked for a rest", func(s *dispatch.Scheduler) { s.NoteRest(start, "h", 1, time.Minute) }, 0, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler(headOfRun("h", 1))
+			c.say(s)
+			NewWithT(t).Expect(s.LeavingServers(start.Add(c.after))).To(Equal(c.want))
+		})
+	}
+	t.Run("what a peer tells bars the place", func(t *testing.T) {
+		g := NewWithT(t)
+		s := newScheduler(headOfRun("h", 1))
+		g.Expect(s.NotePeerLeaving(start, h)).To(BeTrue())
+		g.Expect(s.NotePeerLeaving(start, h)).To(BeFalse())
+		g.Expect(s.Offer(start, newTicket(time.Second)).Verdict).To(Equal(dispatch.Refuse))
+	})
+	t.Run("the newest if there are many", func(t *testing.T) {
+		g := NewWithT(t)
+		s := newScheduler()
+		for n := range 100 {
+			s.NoteLeaving(start.Add(time.Duration(n)*time.Millisecond), fmt.Sprint("h", n), 1)
+		}
+		told := s.LeavingServers(start.Add(100 * time.Millisecond))
+		g.Expect(told).To(HaveLen(64))
+		g.Expect(told[0].ID).To(Equal("h99"))
+	})
+}
