--- a/pkg/formation/reserve.go
+++ b/pkg/formation/reserve.go
@@ -35,18 +35,24 @@
 // workersNeeded returns how many workers of its domain an existing group needs. One that
 // lost members needs its full size again if it is to be replaced.
 func (d *decider) workersNeeded(group string, members []*Worker) int {
-	remaining := 0
-	for _, w := range members {
-		if !w.Lost && !w.Draining {
-			remaining++
-		}
-	}
+	remaining := countRemaining(members)
 	if model, known := d.Engine.Model(ModelOf(group)); known && isReplaceable(model, remaining) {
 		return model.Size
 	}
 	return remaining
 }
 
+// countRemaining returns how many members of a group a successor can have.
+func countRemaining(members []*Worker) int {
+	n := 0
+	for _, w := range members {
+		if !w.Lost && !w.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // isReplaceable reports whether enough members of a group remain for a successor of it to
 // be worth waiting for.
 func isReplaceable(model catalog.Model, remaining int) bool {
--- a/pkg/formation/settle.go
+++ b/pkg/formation/settle.go
@@ -227,12 +227,7 @@
 // ends. Its members become free soon, but stay in it for now, since the head may still
 // be open.
 func (d *decider) reserveWorkers(model catalog.Model, members []*Worker) {
-	remaining := 0
-	for _, w := range members {
-		if !w.Lost && !w.Draining {
-			remaining++
-		}
-	}
+	remaining := countRemaining(members)
 	if !isReplaceable(model, remaining) {
 		return
 	}
