pkg/poison: instances tell each other that other requests were answered

Cause: an instance blocks a part only after five answers of the model that it has seen itself. Each of 63 instances gets about one request of the large model in a second. Change: a report says that its sender has seen enough answers since the first crash, and peers take that for their own. Test: TestInstanceWithFewRequestsBlocks, red before.

--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -135,6 +135,7 @@
 	Part       string
 	Depth      int // position of the part in prompts
 	Model      string
+	Answered   bool // enough other requests to the model were answered since the first crash
 	Cleared    bool // a request with the part was answered ClearedAge ago
 	ClearedAge int64
 	Crashes    []Crash
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -61,6 +61,9 @@
 	Depth   int // position of the part in prompts
 	Model   string
 	Crashes []Crash
+	// Answered is set if enough other requests to the model were answered since the first
+	// crash. An instance that gets few requests can't tell by itself.
+	Answered bool
 	// Cleared is set if a request with the part was answered, and ClearedAge is the time
 	// since the last answer.
 	Cleared    bool
@@ -88,6 +91,7 @@
 	crashes   []crash   // in the order of their time, all later than clearedAt
 	clearedAt time.Time // of the last answer that went on; zero if there was none
 	answers   int       // to requests of the model when the first crash became known
+	answered  bool      // a peer has seen enough answers since
 	newsAt    time.Time // when a crash or an answer was last noted that peers may not know
 }
 
@@ -149,7 +153,7 @@
 	var reports []Report
 	for _, part := range names[:min(len(names), maxReports)] {
 		s := b.parts[part]
-		r := Report{Part: part, Depth: s.depth, Model: s.model}
+		r := Report{Part: part, Depth: s.depth, Model: s.model, Answered: s.isAnswered(b.answers[s.model])}
 		if !s.clearedAt.IsZero() {
 			r.Cleared, r.ClearedAge = true, now.Sub(s.clearedAt)
 		}
@@ -174,6 +178,9 @@
 		for _, c := range r.Crashes {
 			s.add(now, crash{server: c.Server, request: c.Request, at: now.Add(-max(c.Age, 0))}, b.answers[s.model])
 		}
+		if r.Answered && len(s.crashes) > 0 && !s.answered {
+			s.answered, s.newsAt = true, now
+		}
 	}
 }
 
@@ -224,7 +231,7 @@
 		return
 	}
 	if len(s.crashes) == 0 {
-		s.answers = answers
+		s.answers, s.answered = answers, false
 	}
 	s.newsAt = now
 	s.crashes = append(s.crashes, c)
@@ -247,9 +254,15 @@
 	}
 }
 
+// isAnswered reports whether enough requests to the model were answered since the first
+// crash. answers is the number that have been answered so far.
+func (s *suspect) isAnswered(answers int) bool {
+	return len(s.crashes) > 0 && (s.answered || answers-s.answers >= minAnswers)
+}
+
 // isGuilty reports whether the crashes are enough to block the part.
 func (s *suspect) isGuilty(answers int) bool {
-	if len(s.crashes) < minCrashes || answers-s.answers < minAnswers {
+	if len(s.crashes) < minCrashes || !s.isAnswered(answers) {
 		return false
 	}
 	requests := map[uint32]bool{}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -242,6 +242,39 @@
 	})
 }
 
+// In a large deployment most instances get few requests of a model.
+func TestInstanceWithFewRequestsBlocks(t *testing.T) {
+	var busy, idle poison.Board
+	now := start
+	request := func(id string, parts ...string) poison.Request { return poison.Request{ID: id, Model: "m", Parts: parts} }
+	for n := range 3 {
+		now = now.Add(300 * time.Millisecond)
+		idle.NoteCrash(now, fmt.Sprint("server-", n), request(fmt.Sprint("r", n), common, deadly))
+		busy.Merge(now, idle.Reports(now))
+	}
+	expect := func(t *testing.T, b *poison.Board, want bool) {
+		t.Helper()
+		_, blocked := b.Blocked(now, []string{common, deadly})
+		NewWithT(t).Expect(blocked).To(Equal(want))
+	}
+	expect(t, &idle, false)
+	for n := range 5 {
+		busy.NoteAnswer(now, request(fmt.Sprint("a", n), common))
+	}
+	expect(t, &busy, true)
+	idle.Merge(now, busy.Reports(now))
+	expect(t, &idle, true)
+	t.Run("not after an answer", func(t *testing.T) {
+		idle.NoteAnswer(now, request("sound", deadly))
+		now = now.Add(time.Second)
+		for n := range 3 {
+			now = now.Add(300 * time.Millisecond)
+			idle.NoteCrash(now, fmt.Sprint("later-", n), request(fmt.Sprint("l", n), common, deadly))
+		}
+		expect(t, &idle, false)
+	})
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	var b poison.Board
