--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -246,7 +246,9 @@
 func TestInstanceWithFewRequestsBlocks(t *testing.T) {
 	var busy, idle poison.Board
 	now := start
-	request := func(id string, parts ...string) poison.Request { return poison.Request{ID: id, Model: "m", Parts: parts} }
+	request := func(id string, parts ...string) poison.Request {
+		return poison.Request{ID: id, Model: "m", Parts: parts}
+	}
 	for n := range 3 {
 		now = now.Add(300 * time.Millisecond)
 		idle.NoteCrash(now, fmt.Sprint("server-", n), request(fmt.Sprint("r", n), common, deadly))
