--- /dev/null
+++ b/review/stand/worker.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// modelSize is the number of workers in a group.
+const modelSize = 3
+
+// Times of the model workers, some of them shorter than those of real ones.
+const (
+	loadTime = 400 * time.Millisecond // a join that loads the weights
+	hotTime  = 200 * time.Millisecond // a join of the model that the worker had last
+	openTime = 300 * time.Millisecond
+)
+
+// worker is a stand-in of a worker, a plain one if it has no domain.
+type worker struct {
+	id, service, domain, address string
+	born                         int64
+	fleet                        *fleet
+
+	// The fields below are guarded by fleet.mu.
+	entrySeq, orderSeq int64
+	staged             string
+	group              *membership
+}
+
+type membership struct {
+	name     string
+	epoch    int64
+	rank     int
+	members  []string
+	model    string
+	joinedAt time.Time
+	opened   bool
+	openAt   time.Time
+	closing  bool
+}
+
+// fleet is all workers of a case.
+type fleet struct {
+	env *env
+	// answer answers a request that the worker runs.
+	answer func(w *worker, rw http.ResponseWriter, r *http.Request)
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	runs    map[string]int // by request ID
+}
+
+func newFleet(e *env, answer func(w *worker, rw http.ResponseWriter, r *http.Request)) *fleet {
+	return &fleet{env: e, answer: answer, workers: map[string]*worker{}, runs: map[string]int{}}
+}
+
+// add starts a worker.
+func (f *fleet) add(id, service, domain string) (*worker, error) {
+	w := &worker{id: id, service: service, domain: domain, born: time.Now().UnixMilli(), fleet: f}
+	address, err := f.env.serve(f.env.ip(100+len(f.workers)), w)
+	if err != nil {
+		return nil, err
+	}
+	w.address = address
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id] = w
+	return w, f.writeEntry(w)
+}
+
+// heartbeat writes all entries every interval until the case ends.
+func (f *fleet) heartbeat(interval time.Duration) {
+	for {
+		time.Sleep(interval)
+		f.mu.Lock()
+		for _, w := range f.workers {
+			if err := f.writeEntry(w); err != nil {
+				f.env.record("entry of %s: %v", w.id, err)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
+// timesRun returns how often a request has begun to run, at all workers.
+func (f *fleet) timesRun(request string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[request]
+}
+
+// state returns a worker's state in its group. The caller holds the lock.
+func (w *worker) state() string {
+	g, now := w.group, time.Now()
+	switch {
+	case now.Before(g.joinedAt):
+		return "joining"
+	case g.closing:
+		return "closing"
+	case g.opened && !now.Before(g.openAt):
+		return "open"
+	}
+	return "ready"
+}
+
+// statement is what a worker says about itself. The caller holds the lock.
+func (w *worker) statement() map[string]any {
+	s := map[string]any{"stage": "colocated", "models": []any{}, "staged": []string{}, "group": nil, "domain": w.domain, "born": w.born, "busy": false}
+	if w.staged != "" {
+		s["staged"] = []string{w.staged}
+	}
+	if g := w.group; g != nil {
+		s["models"] = []any{map[string]any{"name": g.model, "version": 1, "adapters": []string{}}}
+		s["group"] = map[string]any{"name": g.name, "epoch": g.epoch, "rank": g.rank, "state": w.state()}
+	}
+	return s
+}
+
+// writeEntry writes a worker's entry in the store. The caller holds the lock.
+func (f *fleet) writeEntry(w *worker) error {
+	w.entrySeq++
+	s := map[string]any{}
+	if w.domain != "" {
+		s = w.statement()
+	}
+	s["service"], s["address"], s["zone"], s["version"], s["state"] = w.service, w.address, zone, "v1", "ready"
+	s["batch-slots"], s["cold-ms"], s["seq"], s["born"] = 26, 0, w.entrySeq, w.born
+	data, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	f.env.store.Put("keyed.servers", w.id, data)
+	return nil
+}
+
+// writeEntryAfter writes a worker's entry when its state has changed without an order.
+func (f *fleet) writeEntryAfter(w *worker, d time.Duration) {
+	time.AfterFunc(d+time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if err := f.writeEntry(w); err != nil {
+			f.env.record("entry of %s: %v", w.id, err)
+		}
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("X-Instance-Id", w.id)
+	id := r.Header.Get("X-Request-Id")
+	if id != "" {
+		rw.Header().Set("X-Request-Id", id)
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+		w.turnAway(rw, http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /health":
+		return
+	case "GET /report":
+		w.fleet.mu.Lock()
+		s := w.statement()
+		s["seq"] = w.orderSeq
+		w.fleet.mu.Unlock()
+		writeJSON(rw, s)
+		return
+	case "POST /order":
+		w.serveOrder(rw, r)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	switch status := w.admit(id); {
+	case id == "":
+		w.turnAway(rw, http.StatusBadRequest)
+	case status != http.StatusOK:
+		w.turnAway(rw, status)
+	default:
+		w.fleet.env.record("worker %s runs %s, time budget %s ms", w.id, id, r.Header.Get("X-Deadline-Ms"))
+		rw.Header().Set("X-Response-Stamp", "stamp-of-"+w.id)
+		w.fleet.answer(w, rw, r)
+	}
+}
+
+func writeJSON(rw http.ResponseWriter, body any) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(body) // a caller that has left asks again
+}
+
+// turnAway answers a request that the worker doesn't run.
+func (w *worker) turnAway(rw http.ResponseWriter, status int) {
+	rw.Header().Set("X-Not-Run", "1")
+	rw.WriteHeader(status)
+}
+
+// admit decides whether a request runs, and counts it if so.
+func (w *worker) admit(id string) int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if w.domain != "" {
+		if w.group == nil || w.group.rank != 0 {
+			return http.StatusMisdirectedRequest
+		}
+		if w.state() != "open" {
+			return http.StatusServiceUnavailable
+		}
+	}
+	w.fleet.runs[id]++
+	return http.StatusOK
+}
+
+type order struct {
+	Operation    string   `json:"operation"`
+	Group        string   `json:"group"`
+	Epoch        int64    `json:"epoch"`
+	Model        string   `json:"model"`
+	Members      []string `json:"members"`
+	Precondition *int64   `json:"precondition"`
+}
+
+func (w *worker) serveOrder(rw http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	status := w.carryOut(o)
+	f.env.record("worker %s: order %s %s: %s", w.id, o.Operation, o.Group, strconv.Itoa(status))
+	if status < http.StatusMultipleChoices {
+		if err := f.writeEntry(w); err != nil {
+			f.env.record("entry of %s: %v", w.id, err)
+		}
+	}
+	rw.WriteHeader(status)
+}
+
+// carryOut carries out an order and returns the status of the answer. The caller holds the
+// lock.
+func (w *worker) carryOut(o order) int {
+	g := w.group
+	switch {
+	case o.Precondition != nil && *o.Precondition != w.orderSeq:
+		return http.StatusConflict
+	case o.Operation == "join":
+		return w.join(o)
+	case g == nil || g.name != o.Group || g.epoch != o.Epoch:
+		return http.StatusConflict
+	}
+	switch {
+	case o.Operation == "open" && g.rank == 0 && w.state() == "ready":
+		if g.opened {
+			return http.StatusOK
+		}
+		g.opened, g.openAt = true, time.Now().Add(openTime)
+		w.fleet.writeEntryAfter(w, openTime)
+	case o.Operation == "close" && g.rank == 0 && g.opened:
+		g.opened, g.closing = false, false
+	case o.Operation == "leave":
+		w.group = nil
+		w.orderSeq++
+		return http.StatusOK
+	default:
+		return http.StatusConflict
+	}
+	w.orderSeq++
+	return http.StatusAccepted
+}
+
+func (w *worker) join(o order) int {
+	if g := w.group; g != nil {
+		same := g.name == o.Group && g.epoch == o.Epoch
+		switch {
+		case o.Epoch < g.epoch, same && !slices.Equal(g.members, o.Members):
+			return http.StatusPreconditionFailed
+		case same:
+			return http.StatusOK
+		}
+	}
+	d := loadTime
+	if w.staged == o.Model {
+		d = hotTime
+	}
+	w.group = &membership{
+		name: o.Group, epoch: o.Epoch, rank: slices.Index(o.Members, w.id), members: o.Members, model: o.Model, joinedAt: time.Now().Add(d),
+	}
+	w.staged = o.Model
+	w.orderSeq++
+	w.fleet.writeEntryAfter(w, d)
+	return http.StatusAccepted
+}
