--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -74,6 +74,7 @@
 
 // answer is what a client received.
 type answer struct {
+	header http.Header
 	status int // 0 if the connection ended before the head of an answer
 	bytes  int // of the body
 	whole  bool
@@ -96,7 +97,7 @@
 		return answer{err: err, took: time.Since(sent)}
 	}
 	defer resp.Body.Close()
-	a := answer{status: resp.StatusCode}
+	a := answer{status: resp.StatusCode, header: resp.Header}
 	buf := make([]byte, 8<<10)
 	for {
 		if pause != nil {
--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -7,6 +7,7 @@
 	modelName    = "draft-model"
 	modelService = "pool"
 	plainService = "desk"
+	otherService = "catalogue" // another plain service
 	heartbeat    = 1200 * time.Millisecond
 )
 
@@ -45,6 +46,7 @@
 				},
 			},
 			map[string]any{"name": plainService, "health-path": "/health", "max-conns": 110, "protocol": "h1", "tls": false, "cold-start-s": 0, "cold-per-s": 0},
+			map[string]any{"name": otherService, "health-path": "/health", "max-conns": 110, "protocol": "h1", "tls": false, "cold-start-s": 0, "cold-per-s": 0},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": accountName, "api-keys": []string{apiKey}, "priority": 1}},
--- a/review/stand/env.go
+++ b/review/stand/env.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,7 +33,10 @@
 	trouble   bool
 	started   time.Time
 	store     *metastore.Store
-	storeAddr string
+	storeDown atomic.Bool
+
+	neighbourPort int // of the digests between entry instances
+	storeAddr     string
 
 	mu      sync.Mutex
 	file    *os.File
@@ -100,7 +104,9 @@
 		s.Close()
 	}
 	e.file.Close()
-	os.RemoveAll(e.tmp)
+	if os.Getenv("KEEP") == "" {
+		os.RemoveAll(e.tmp)
+	}
 }
 
 func (e *env) killEntries() {
@@ -123,6 +129,17 @@
 	return nil
 }
 
+// setStoreDown makes the store leave all calls unanswered, or ends that.
+func (e *env) setStoreDown(down bool) {
+	e.storeDown.Store(down)
+	if down {
+		e.store.SetFault(metastore.Silent)
+	} else {
+		e.store.SetFault(metastore.None)
+	}
+	e.record("store down: %v", down)
+}
+
 // entry is a process of an entry instance.
 type entry struct {
 	front, ready string
@@ -176,9 +193,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.neighbourPort == 0 { // the same on all machines
+		e.neighbourPort = ports[2]
+	}
 	p := &entry{front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]), done: make(chan struct{})}
 	settings := filepath.Join(e.tmp, fmt.Sprintf("entry-%d.yaml", n))
-	text := fmt.Sprintf(settingsText, n, ip, p.front, p.ready, ports[2], ports[2]+1, e.storeAddr)
+	text := fmt.Sprintf(settingsText, n, ip, p.front, p.ready, e.neighbourPort, e.neighbourPort+1, e.storeAddr)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -13,6 +13,12 @@
 // modelSize is the number of workers in a group.
 const modelSize = 3
 
+// Slots of a group and of a plain worker.
+const (
+	modelSlots = 26
+	plainSlots = 6
+)
+
 // Times of the model workers, some of them shorter than those of real ones.
 const (
 	loadTime = 400 * time.Millisecond // a join that loads the weights
@@ -28,6 +34,8 @@
 
 	// The fields below are guarded by fleet.mu.
 	entrySeq, orderSeq int64
+	down               bool // its process is not there
+	leaving            bool // it says so in all its answers and in its entry
 	staged             string
 	group              *membership
 }
@@ -87,6 +95,49 @@
 	}
 }
 
+// restart starts a worker again under its ID and at its address, after it was away for a while.
+func (w *worker) restart(away time.Duration) error {
+	f := w.fleet
+	f.mu.Lock()
+	w.down = true
+	f.mu.Unlock()
+	f.env.record("worker %s ends", w.id)
+	time.Sleep(away)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.down, w.born, w.orderSeq, w.group = false, time.Now().UnixMilli(), 0, nil
+	f.env.record("worker %s starts again", w.id)
+	return f.writeEntry(w)
+}
+
+// leave makes a worker say that it leaves. Its next entry says so too.
+func (w *worker) leave() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.leaving = true
+	w.fleet.env.record("worker %s begins to leave", w.id)
+}
+
+// replaceInPlace stops a worker as planned and starts it again under its ID: its answers say that it
+// leaves, its next entry says that it drains, it goes on serving for a while, ends, and comes back.
+func (w *worker) replaceInPlace(serving, away time.Duration) error {
+	f := w.fleet
+	w.leave()
+	time.Sleep(heartbeat / 2) // until its next entry, on average
+	f.mu.Lock()
+	err := f.writeEntry(w)
+	f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	time.Sleep(serving)
+	f.mu.Lock()
+	w.down, w.leaving = true, false
+	f.env.store.Put("keyed.servers", w.id, nil)
+	f.mu.Unlock()
+	return w.restart(away)
+}
+
 // timesRun returns how often a request has begun to run, at all workers.
 func (f *fleet) timesRun(request string) int {
 	f.mu.Lock()
@@ -121,15 +172,24 @@
 	return s
 }
 
-// writeEntry writes a worker's entry in the store. The caller holds the lock.
+// writeEntry writes a worker's entry in the store, if the store is there. The caller holds the lock.
 func (f *fleet) writeEntry(w *worker) error {
+	if w.down || f.env.storeDown.Load() {
+		return nil // the next heartbeat writes it
+	}
 	w.entrySeq++
 	s := map[string]any{}
 	if w.domain != "" {
 		s = w.statement()
 	}
 	s["service"], s["address"], s["zone"], s["version"], s["state"] = w.service, w.address, zone, "v1", "ready"
-	s["batch-slots"], s["cold-ms"], s["seq"], s["born"] = 26, 0, w.entrySeq, w.born
+	s["batch-slots"], s["cold-ms"], s["seq"], s["born"] = plainSlots, 0, w.entrySeq, w.born
+	if w.domain != "" {
+		s["batch-slots"] = modelSlots
+	}
+	if w.leaving {
+		s["state"] = "draining"
+	}
 	data, err := json.Marshal(s)
 	if err != nil {
 		return err
@@ -151,6 +211,13 @@
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.fleet.mu.Lock()
+	down := w.down
+	w.fleet.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	rw = &answerWriter{ResponseWriter: rw, worker: w}
 	rw.Header().Set("X-Instance-Id", w.id)
 	id := r.Header.Get("X-Request-Id")
 	if id != "" {
@@ -189,6 +256,34 @@
 	}
 }
 
+// answerWriter adds to an answer that its worker leaves, if it does so when the answer begins.
+type answerWriter struct {
+	http.ResponseWriter
+	worker *worker
+	begun  bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answerWriter) WriteHeader(status int) {
+	a.worker.fleet.mu.Lock()
+	defer a.worker.fleet.mu.Unlock()
+	if a.begun = true; a.worker.leaving {
+		a.Header().Set("Server-Leaving", "1")
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (a *answerWriter) Write(data []byte) (int, error) {
+	if !a.begun {
+		a.WriteHeader(http.StatusOK)
+	}
+	return a.ResponseWriter.Write(data)
+}
+
+// Unwrap is used by http.ResponseController.
+func (a *answerWriter) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
 func writeJSON(rw http.ResponseWriter, body any) {
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(body) // a caller that has left asks again
@@ -231,6 +326,12 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	rw.WriteHeader(w.carryOutAndReport(o))
+}
+
+// carryOutAndReport carries out an order, writes the worker's entry if that changed it, and returns
+// the status of the answer.
+func (w *worker) carryOutAndReport(o order) int {
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -241,7 +342,7 @@
 			f.env.record("entry of %s: %v", w.id, err)
 		}
 	}
-	rw.WriteHeader(status)
+	return status
 }
 
 // carryOut carries out an order and returns the status of the answer. The caller holds the
