--- a/review/stand/env.go
+++ b/review/stand/env.go
@@ -142,6 +142,7 @@
 
 // entry is a process of an entry instance.
 type entry struct {
+	number       int
 	front, ready string
 	command      *exec.Cmd
 	done         chan struct{}
@@ -186,6 +187,16 @@
   form: "log"
 `
 
+// restart starts an entry instance again that was killed.
+func (p *entry) restart(ctx context.Context, e *env) error {
+	next, err := e.startEntry(ctx, p.number)
+	if err != nil {
+		return err
+	}
+	*p = *next
+	return nil
+}
+
 // startEntry starts an entry instance with the command of the deploy file.
 func (e *env) startEntry(ctx context.Context, n int) (*entry, error) {
 	ip := e.ip(10 + n)
@@ -196,7 +207,7 @@
 	if e.neighbourPort == 0 { // the same on all machines
 		e.neighbourPort = ports[2]
 	}
-	p := &entry{front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]), done: make(chan struct{})}
+	p := &entry{number: n, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]), done: make(chan struct{})}
 	settings := filepath.Join(e.tmp, fmt.Sprintf("entry-%d.yaml", n))
 	text := fmt.Sprintf(settingsText, n, ip, p.front, p.ready, e.neighbourPort, e.neighbourPort+1, e.storeAddr)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -34,8 +35,9 @@
 
 	// The fields below are guarded by fleet.mu.
 	entrySeq, orderSeq int64
-	down               bool // its process is not there
-	leaving            bool // it says so in all its answers and in its entry
+	seenEpoch          int64 // highest epoch of a join in this life
+	down               bool  // its process is not there
+	leaving            bool  // it says so in all its answers and in its entry
 	staged             string
 	group              *membership
 }
@@ -61,6 +63,10 @@
 	mu      sync.Mutex
 	workers map[string]*worker
 	runs    map[string]int // by request ID
+	// holdsBack, if not nil, reports whether an order that fits is left unanswered, to be carried
+	// out later with carryOutLate. It is called with the lock held.
+	holdsBack func(w *worker, o order) bool
+	broken    []string // rules broken by what the workers saw
 }
 
 func newFleet(e *env, answer func(w *worker, rw http.ResponseWriter, r *http.Request)) *fleet {
@@ -105,7 +111,7 @@
 	time.Sleep(away)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.down, w.born, w.orderSeq, w.group = false, time.Now().UnixMilli(), 0, nil
+	w.down, w.born, w.orderSeq, w.seenEpoch, w.group = false, time.Now().UnixMilli(), 0, 0, nil
 	f.env.record("worker %s starts again", w.id)
 	return f.writeEntry(w)
 }
@@ -326,17 +332,36 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	rw.WriteHeader(w.carryOutAndReport(o))
+	f := w.fleet
+	f.mu.Lock()
+	heldBack := f.holdsBack != nil && (o.Precondition == nil || *o.Precondition == w.orderSeq) && f.holdsBack(w, o)
+	status := 0
+	if !heldBack {
+		status = w.carryOutAndReport(o)
+	}
+	f.mu.Unlock()
+	if heldBack {
+		f.env.record("worker %s: order %s %s, epoch %d, precondition %d: no answer", w.id, o.Operation, o.Group, o.Epoch, *o.Precondition)
+		<-r.Context().Done()
+		return
+	}
+	rw.WriteHeader(status)
+}
+
+// carryOutLate carries out an order that was held back, after newer orders. Its precondition held
+// when it arrived. The caller holds the lock.
+func (w *worker) carryOutLate(o order) {
+	o.Precondition = nil
+	w.fleet.env.record("worker %s: order %s %s, epoch %d, is carried out late", w.id, o.Operation, o.Group, o.Epoch)
+	w.carryOutAndReport(o)
 }
 
 // carryOutAndReport carries out an order, writes the worker's entry if that changed it, and returns
-// the status of the answer.
+// the status of the answer. The caller holds the lock.
 func (w *worker) carryOutAndReport(o order) int {
 	f := w.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	status := w.carryOut(o)
-	f.env.record("worker %s: order %s %s: %s", w.id, o.Operation, o.Group, strconv.Itoa(status))
+	f.env.record("worker %s: order %s %s, epoch %d: %s", w.id, o.Operation, o.Group, o.Epoch, strconv.Itoa(status))
 	if status < http.StatusMultipleChoices {
 		if err := f.writeEntry(w); err != nil {
 			f.env.record("entry of %s: %v", w.id, err)
@@ -377,16 +402,35 @@
 	return http.StatusAccepted
 }
 
+// checkLeftGroup notes that a worker joins another group while the head of its group serves. The
+// caller holds the lock.
+func (w *worker) checkLeftGroup(o order) {
+	g := w.group
+	if g == nil {
+		return
+	}
+	head := w.fleet.workers[g.members[0]]
+	if head == nil || head.down || head.group == nil || head.group.name != g.name || head.group.epoch != g.epoch || !head.group.opened {
+		return
+	}
+	w.fleet.broken = append(w.fleet.broken, fmt.Sprintf("TWO: worker %s joined group %s, epoch %d, while head %s of its group %s, epoch %d, was open", w.id, o.Group, o.Epoch, head.id, g.name, g.epoch))
+}
+
 func (w *worker) join(o order) int {
 	if g := w.group; g != nil {
 		same := g.name == o.Group && g.epoch == o.Epoch
 		switch {
-		case o.Epoch < g.epoch, same && !slices.Equal(g.members, o.Members):
+		case same && !slices.Equal(g.members, o.Members):
 			return http.StatusPreconditionFailed
 		case same:
 			return http.StatusOK
 		}
 	}
+	if o.Epoch < w.seenEpoch {
+		return http.StatusPreconditionFailed
+	}
+	w.checkLeftGroup(o)
+	w.seenEpoch = o.Epoch
 	d := loadTime
 	if w.staged == o.Model {
 		d = hotTime
