dispatch: a bar binds the run of a server that spoke and earlier ones

Cause: a bar and a place were compared by whether their runs differ, and the last word replaced the bar. Two instances that know different runs of a worker lifted each other's bars with each digest, every 0.1 s.

Excluded: lost digests (the words arrive each 0.1 s), and the 3 s for which they are repeated.

Change: runs are start times, so they are ordered. A place is free only in a later run than the one that spoke, and a word on an earlier run doesn't replace the bar.

--- a/pkg/dispatch/bar.go
+++ b/pkg/dispatch/bar.go
@@ -27,7 +27,9 @@
 	maxBars     = 4096 // servers that are remembered; the target size has 840
 )
 
-// bar is the time for which a server's own word keeps requests from it.
+// bar is the time for which a server's own word keeps requests from it. It binds the run
+// that said so and earlier ones: an instance may know a new run of a server later than
+// its peers do.
 type bar struct {
 	run         int64 // of the server that said so; 0 if not known
 	until       time.Time
@@ -79,7 +81,14 @@
 
 func (s *Scheduler) bar(now time.Time, id string, next bar) (isNew bool) {
 	known, ok := s.bars[id]
-	holds := ok && now.Before(known.until) && !isOtherRun(known.run, next.run)
+	unexpired := ok && now.Before(known.until)
+	if unexpired && isLaterRun(known.run, next.run) {
+		return false // what an earlier run said doesn't lift the bar of a later one
+	}
+	holds := unexpired && !isLaterRun(next.run, known.run)
+	if holds {
+		next.run = max(next.run, known.run)
+	}
 	if holds && known.cause == Leaving && next.cause == Resting {
 		return false // it won't come back
 	}
@@ -117,14 +126,14 @@
 // what an earlier one said.
 func (s *Scheduler) barred(now time.Time, p *placeState) (bar, bool) {
 	b, ok := s.bars[p.ID]
-	if !ok || !now.Before(b.until) || isOtherRun(b.run, p.Run) {
+	if !ok || !now.Before(b.until) || isLaterRun(p.Run, b.run) {
 		return bar{}, false
 	}
 	return b, true
 }
 
-// isOtherRun reports whether two runs of a server are known to differ.
-func isOtherRun(x, y int64) bool { return x != 0 && y != 0 && x != y }
+// isLaterRun reports whether both runs of a server are known and x is the later one.
+func isLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
 
 // openAgainAt returns when the first of the places that can run a ticket is no longer
 // barred, or now if one isn't. It returns false if they are all leaving.
--- a/pkg/dispatch/bar_test.go
+++ b/pkg/dispatch/bar_test.go
@@ -183,3 +183,60 @@
 		g.Expect(told[0].ID).To(Equal("h99"))
 	})
 }
+
+// An instance may know a new run of a server before its peers do. If the word on one run
+// lifted the bar on the other, a server that leaves would get requests again and again.
+func TestBarsHoldWhenInstancesKnowDifferentRuns(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		say        func(*dispatch.Scheduler)
+		run        int64
+		wantBarred bool
+	}{
+		{"a peer's word on an earlier run", func(s *dispatch.Scheduler) {
+			s.NoteLeaving(start, "h", 2)
+			s.NotePeerLeaving(start, dispatch.LeavingServer{ID: "h", Run: 1})
+		}, 2, true},
+		{"a peer's word on a run that is not known here yet", func(s *dispatch.Scheduler) {
+			s.NotePeerLeaving(start, dispatch.LeavingServer{ID: "h", Run: 2})
+		}, 1, true},
+		{"a peer's word on an unknown run", func(s *dispatch.Scheduler) {
+			s.NoteLeaving(start, "h", 2)
+			s.NotePeerLeaving(start, dispatch.LeavingServer{ID: "h"})
+		}, 3, false},
+		{"the run becomes known after the word", func(s *dispatch.Scheduler) {
+			s.NotePeerLeaving(start, dispatch.LeavingServer{ID: "h"})
+			s.NoteLeaving(start, "h", 2)
+		}, 3, false},
+		{"a rest that an earlier run asked for", func(s *dispatch.Scheduler) {
+			s.NoteLeaving(start, "h", 2)
+			s.NoteRest(start, "h", 1, time.Second)
+		}, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler(headOfRun("h", c.run))
+			c.say(s)
+			d := s.Offer(start.Add(100*time.Millisecond), newTicket(time.Second))
+			NewWithT(t).Expect(d.Verdict == dispatch.Run).To(Equal(!c.wantBarred), "%+v", d)
+		})
+	}
+	t.Run("instances that tell each other", func(t *testing.T) {
+		g := NewWithT(t)
+		old, current := newScheduler(headOfRun("h", 1)), newScheduler(headOfRun("h", 2))
+		old.NoteLeaving(start, "h", 1)
+		current.NoteLeaving(start, "h", 2)
+		for ms := 0; ms < 5000; ms += 100 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			told, toldBack := old.LeavingServers(now), current.LeavingServers(now)
+			for _, s := range told {
+				current.NotePeerLeaving(now, s)
+			}
+			for _, s := range toldBack {
+				old.NotePeerLeaving(now, s)
+			}
+			for _, s := range []*dispatch.Scheduler{old, current} {
+				g.Expect(s.Offer(now, newTicket(time.Duration(ms)*time.Millisecond+time.Second)).Verdict).To(Equal(dispatch.Refuse), "after %d ms", ms)
+			}
+		}
+	})
+}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -12,7 +12,7 @@
 	Model      string
 	DataCentre string
 	Address    string    // IP and port
-	Run        int64     // differs between the runs of a server with the same ID; 0 if not known
+	Run        int64     // higher in each run of a server with the same ID; 0 if not known
 	Slots      int       // number of requests that can run concurrently
 	ColdUntil  time.Time // end of its cold start
 	ColdRate   float64   // limit in requests per second until then, from all instances together; 0 means no limit
