neighbour: keepers announce the runs of places

Cause: an announced place had no run. UsablePlaces took it from the own list, which an instance that hears keepers reads only at its start. So the word of a worker's first run barred its later ones for ten minutes.

Excluded: the length of the bar alone. A shorter one would let requests through to a worker that still leaves.

Change: digests carry the runs of places in lists of their own, since older releases refuse entries of another length; relays pass them on and send all places when a run changes. The later of the announced run and that of the own list counts.

--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -59,8 +59,10 @@
 				continue
 			}
 			p.ColdRate = service.ColdRate
+			// The own list may be older than the announcement, or know a run that the keeper
+			// has not read of yet.
 			if s, listed := l.List.Roster().Server(p.ID); listed {
-				p.Run = s.StartUnixMilli
+				p.Run = max(p.Run, s.StartUnixMilli)
 			}
 			usable = append(usable, UsablePlace{Place: p, DecidedBy: announcement.Statement})
 		}
--- a/internal/gateway/layout_test.go
+++ b/internal/gateway/layout_test.go
@@ -62,3 +62,36 @@
 	l.Heads = map[string]roster.Membership{}
 	g.Expect(l.Places()).To(BeEmpty(), "the keeper knows no open head")
 }
+
+// The instances that hear a keeper don't read the list themselves. They must know the run
+// of an announced place all the same, since a server's word that it leaves binds its run.
+func TestAnnouncedPlaceHasTheLatestRun(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		listed, announced int64
+		want              int64
+	}{
+		{"not in the own list", 0, 2, 2},
+		{"an earlier run in the own list", 1, 2, 2},
+		{"a later run in the own list", 3, 2, 3},
+		{"announced by an older release", 1, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			read := listing.Batch{Full: true}
+			if c.listed > 0 {
+				read.Records = []listing.Record{{ID: "w", Server: roster.Server{ID: "w", Service: "desk", DataCentre: "a", StartUnixMilli: c.listed}}}
+			}
+			list, _ := listing.New(listing.Rules{}).WithRead(read)
+			list, _ = list.WithAnnouncement("a", listing.Announcement{
+				Statement: listing.Statement{Source: listing.Word, At: 10 * time.Second},
+				Places:    []dispatch.Place{{ID: "w", Service: "desk", DataCentre: "a", Run: c.announced}},
+			})
+			l := Layout{
+				Catalog: catalog.New(catalog.Content{Services: []catalog.Service{{Name: "desk"}}}),
+				List:    list, Now: 10 * time.Second,
+				TakenOut: func(string) bool { return false },
+			}
+			NewWithT(t).Expect(l.Places()).To(HaveExactElements(HaveField("Run", c.want)))
+		})
+	}
+}
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -109,7 +109,7 @@
 	for _, p := range layout.Places() {
 		place := neighbour.Place{
 			Server: p.ID, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots,
-			Cold: max(p.ColdUntil.Sub(now), 0).Milliseconds(),
+			Cold: max(p.ColdUntil.Sub(now), 0).Milliseconds(), Run: p.Run,
 		}
 		if p.DataCentre == i.settings.DataCentre {
 			d.Places = append(d.Places, place)
@@ -211,7 +211,7 @@
 	now := time.Now()
 	for _, p := range places {
 		announcement.Places = append(announcement.Places, dispatch.Place{
-			ID: p.Server, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots,
+			ID: p.Server, Service: p.Service, Model: p.Model, Address: p.Address, Slots: p.Slots, Run: p.Run,
 			DataCentre: dataCentre, ColdUntil: now.Add(time.Duration(p.Cold) * time.Millisecond),
 		})
 	}
--- a/internal/instance/relay_test.go
+++ b/internal/instance/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"github.com/chicorystall/chicorystall/internal/neighbour"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/listing"
+	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
 func newTestInstance(t *testing.T) *instance {
@@ -55,6 +58,32 @@
 	})
 }
 
+// An instance that relies on announcements has an old list, or none. If it didn't learn a
+// worker's run from the keeper, it would take a new run for the one that left.
+func TestAnnouncementsTellTheRunsOfPlaces(t *testing.T) {
+	for _, dataCentre := range []string{"a", "b"} {
+		t.Run("data centre "+dataCentre, func(t *testing.T) {
+			g := NewWithT(t)
+			keeper, other := newTestBed(t.Context()), newTestBed(t.Context())
+			list, _ := listing.New(listing.Rules{}).WithRead(listing.Batch{Full: true, Records: []listing.Record{
+				{ID: "w", Server: roster.Server{ID: "w", Service: "desk", DataCentre: dataCentre, Slots: 1, StartUnixMilli: 2}},
+			}})
+			layout := keeper.layout()
+			layout.List = list
+			d := neighbour.Digest{Instance: "entry-2", DataCentre: "a", Keeper: true, ListAge: 10}
+			keeper.addPlaces(&d, layout)
+			other.onDigest(d)
+			g.Expect(other.layout().Places()).To(HaveExactElements(And(HaveField("ID", "w"), HaveField("Run", int64(2)))))
+			t.Run("a new run changes the places", func(t *testing.T) {
+				announcement, _ := other.state.List().Announcement(dataCentre)
+				announcement.Places = slices.Clone(announcement.Places)
+				announcement.Places[0].Run = 3
+				NewWithT(t).Expect(other.state.ApplyAnnouncement(dataCentre, announcement)).To(BeTrue())
+			})
+		})
+	}
+}
+
 func TestAStoppingInstanceIsNotTheKeeper(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/instance/workers.go
+++ b/internal/instance/workers.go
@@ -49,7 +49,7 @@
 	before, _ := previous.Announcement(dataCentre)
 	after, _ := list.Announcement(dataCentre)
 	return list.Roster() != previous.Roster() || !slices.EqualFunc(before.Places, after.Places, func(a, b dispatch.Place) bool {
-		return a.ID == b.ID && a.Model == b.Model && a.Address == b.Address
+		return a.ID == b.ID && a.Model == b.Model && a.Address == b.Address && a.Run == b.Run
 	})
 }
 
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -113,8 +113,8 @@
 		}
 	}
 	for p := range d.allPlaces() {
-		if !isValidCount(p.Slots) || p.Cold < 0 || p.Cold > maxCold.Milliseconds() {
-			return newRefusal(OutOfRange, "place with %d slots and %d ms of cold start is out of range", p.Slots, p.Cold)
+		if !isValidCount(p.Slots) || p.Cold < 0 || p.Cold > maxCold.Milliseconds() || p.Run < 0 {
+			return newRefusal(OutOfRange, "place with %d slots, %d ms of cold start and the run %d is out of range", p.Slots, p.Cold, p.Run)
 		}
 	}
 	return nil
@@ -124,6 +124,7 @@
 func (p Place) clamp() Place {
 	p.Slots = min(max(p.Slots, 0), maxCount)
 	p.Cold = min(max(p.Cold, 0), maxCold.Milliseconds())
+	p.Run = max(p.Run, 0)
 	return p
 }
 
--- a/internal/neighbour/check_test.go
+++ b/internal/neighbour/check_test.go
@@ -68,6 +68,7 @@
 		{"negative load", func(d *Digest) { d.Load = []Load{{Place: "w", Running: -1}} }, OutOfRange},
 		{"load that overflows a sum", func(d *Digest) { d.Load = []Load{{Place: "w", Reading: math.MaxInt64}} }, OutOfRange},
 		{"negative slots", func(d *Digest) { d.Places = []Place{{Server: "w", Slots: -1}} }, OutOfRange},
+		{"negative run", func(d *Digest) { d.Places, d.PlaceRuns = []Place{{Server: "w"}}, []int64{-1} }, OutOfRange},
 		{"suspected part at a negative position", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Depth: -1}} }, OutOfRange},
 		{"suspected part cleared in the future", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Cleared: true, ClearedAge: -1}} }, OutOfRange},
 		{"crash whose age overflows", func(d *Digest) { d.Suspects = []Suspect{{Part: "p", Crashes: []Crash{{Age: math.MaxInt64}}}} }, OutOfRange},
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -78,6 +78,10 @@
 	HasPlaces     bool   `cbor:"29,keyasint,omitempty"`
 	// Packed replaces Places in the encoded digest of a relay.
 	Packed *packedPlaces `cbor:"31,keyasint,omitempty"`
+	// PlaceRuns holds the runs of Places in the same order, and OtherPlaceRuns those of
+	// OtherDataCentres, in the encoded digest. Older releases leave them out.
+	PlaceRuns      []int64            `cbor:"35,keyasint,omitempty"`
+	OtherPlaceRuns map[string][]int64 `cbor:"36,keyasint,omitempty"`
 	// FailingHeads lists the heads that have lately failed most requests of the sender.
 	FailingHeads []string `cbor:"32,keyasint,omitempty"`
 	// Suspects lists parts of prompts that may crash backend servers.
@@ -120,6 +124,9 @@
 	Address string
 	Slots   int
 	Cold    int64 // milliseconds until its cold start ends
+	// Run is the run of the server, which is its start time in milliseconds since 1970; 0 if
+	// not known. Older releases expect an entry without it, so it is encoded apart.
+	Run int64 `cbor:"-"`
 }
 
 // LeavingServer is a run of a backend server that said that it leaves.
@@ -183,6 +190,7 @@
 			places[i] = p.clamp()
 		}
 	}
+	d.splitRuns()
 	if d.Relay {
 		d.pack()
 	}
--- a/internal/neighbour/neighbour_test.go
+++ b/internal/neighbour/neighbour_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	d := Digest{
 		Instance: "entry-1", DataCentre: "a", Started: 7, Seq: 3, Keeper: true, OperatorEnd: 9, OperatorAge: 20,
 		Load:        []Load{{Place: "w", Running: 2, Reading: 100}},
-		Places:      []Place{{Server: "w", Service: "pool", Model: "m", Address: "127.0.0.1:1", Slots: 4}},
+		Places:      []Place{{Server: "w", Service: "pool", Model: "m", Address: "127.0.0.1:1", Slots: 4, Run: 1796386055922}, {Server: "v"}},
 		Echoes:      []Echo{{Instance: "entry-2", Started: 8, Seq: 5}},
 		SilentHeads: []SilentHead{{Server: "w", Address: "127.0.0.1:1"}}, SilentHeadStarts: []int64{1796386055922},
 	}
@@ -36,6 +37,42 @@
 	})
 }
 
+// A keeper's digest must tell the runs of its places on each way that it takes.
+func TestPlacesKeepTheirRuns(t *testing.T) {
+	places := []Place{{Server: "v", Slots: 1}, {Server: "w", Slots: 1, Run: 1796386055922}}
+	relayed := Digest{Instance: "entry-2", DataCentre: "b", Started: 7, Seq: 3, Relay: true, HasPlaces: true, PlacesVersion: 1, Places: slices.Clone(places)}
+	for _, c := range []struct {
+		name   string
+		change func(*Digest)
+		places func(Digest) []Place
+	}{
+		{"from the keeper", func(d *Digest) { d.Places = slices.Clone(places) }, func(d Digest) []Place { return d.Places }},
+		{"of another data centre", func(d *Digest) { d.OtherDataCentres = map[string][]Place{"c": slices.Clone(places)} }, func(d Digest) []Place { return d.OtherDataCentres["c"] }},
+		{"from a relay", func(d *Digest) { d.Relay, d.Places = true, slices.Clone(places) }, func(d Digest) []Place { return d.Places }},
+		{"passed on by a relay", func(d *Digest) { d.Relay, d.Relayed = true, []Digest{relayed} }, func(d Digest) []Place { return d.Relayed[0].Places }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := Digest{Instance: "entry-1", DataCentre: "a", Started: 7, Seq: 3, Keeper: true}
+			c.change(&d)
+			data, err := encode(d)
+			g.Expect(err).NotTo(HaveOccurred())
+			got, err := decode(data, time.Now())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(c.places(got)).To(Equal(places))
+		})
+	}
+	t.Run("a new run is sent at once by a relay", func(t *testing.T) {
+		later := slices.Clone(places)
+		later[1].Run++
+		NewWithT(t).Expect(placesVersion(later)).NotTo(Equal(placesVersion(places)))
+	})
+	t.Run("runs that don't match the places are refused", func(t *testing.T) {
+		d := Digest{Places: slices.Clone(places), PlaceRuns: []int64{1}}
+		NewWithT(t).Expect(reasonOf(d.unpack())).To(Equal(Unreadable))
+	})
+}
+
 // An echo bounds the age of a keeper's data only if it names a digest that this run
 // sent, and whose send time is still kept.
 func TestEchoSentAt(t *testing.T) {
--- a/internal/neighbour/packed.go
+++ b/internal/neighbour/packed.go
@@ -73,6 +73,7 @@
 	d.Packed, d.Places = packPlaces(d.Places), nil
 	relayed := make([]Digest, len(d.Relayed))
 	for i, r := range d.Relayed {
+		r.splitRuns()
 		r.pack()
 		relayed[i] = r
 	}
@@ -81,7 +82,7 @@
 	}
 }
 
-// unpack restores the places of a digest and of those that it passes on.
+// unpack restores the places, with their runs, of a digest and of those that it passes on.
 func (d *Digest) unpack() error {
 	if d.Packed != nil {
 		places, err := d.Packed.unpack()
@@ -90,6 +91,9 @@
 		}
 		d.Places, d.Packed = places, nil
 	}
+	if err := d.joinRuns(); err != nil {
+		return err
+	}
 	for i := range d.Relayed {
 		if err := d.Relayed[i].unpack(); err != nil {
 			return err
@@ -97,3 +101,57 @@
 	}
 	return nil
 }
+
+// splitRuns sets the encoded form of the runs of places.
+func (d *Digest) splitRuns() {
+	d.PlaceRuns, d.OtherPlaceRuns = runsOf(d.Places), nil
+	for dataCentre, places := range d.OtherDataCentres {
+		runs := runsOf(places)
+		if runs == nil {
+			continue
+		}
+		if d.OtherPlaceRuns == nil {
+			d.OtherPlaceRuns = map[string][]int64{}
+		}
+		d.OtherPlaceRuns[dataCentre] = runs
+	}
+}
+
+// joinRuns sets the runs of places from their encoded form.
+func (d *Digest) joinRuns() error {
+	if err := setRuns(d.Places, d.PlaceRuns); err != nil {
+		return err
+	}
+	for dataCentre, runs := range d.OtherPlaceRuns {
+		if err := setRuns(d.OtherDataCentres[dataCentre], runs); err != nil {
+			return err
+		}
+	}
+	d.PlaceRuns, d.OtherPlaceRuns = nil, nil
+	return nil
+}
+
+// runsOf returns the runs of places, or nil if none is known.
+func runsOf(places []Place) []int64 {
+	var runs []int64
+	for i, p := range places {
+		if p.Run == 0 {
+			continue
+		}
+		if runs == nil {
+			runs = make([]int64, len(places))
+		}
+		runs[i] = p.Run
+	}
+	return runs
+}
+
+func setRuns(places []Place, runs []int64) error {
+	if len(runs) > 0 && len(runs) != len(places) {
+		return newRefusal(Unreadable, "%d runs for %d places", len(runs), len(places))
+	}
+	for i, run := range runs {
+		places[i].Run = run
+	}
+	return nil
+}
--- a/internal/neighbour/relay.go
+++ b/internal/neighbour/relay.go
@@ -28,14 +28,16 @@
 // the time.
 func placesVersion(places []Place) uint64 {
 	h := xxhash.New()
-	var slots [8]byte
+	var number [8]byte
 	for _, p := range places {
 		for _, text := range []string{p.Server, p.Service, p.Model, p.Address} {
 			_, _ = h.WriteString(text)
 			_, _ = h.Write([]byte{0})
 		}
-		binary.LittleEndian.PutUint64(slots[:], uint64(p.Slots))
-		_, _ = h.Write(slots[:])
+		for _, n := range []int64{int64(p.Slots), p.Run} {
+			binary.LittleEndian.PutUint64(number[:], uint64(n))
+			_, _ = h.Write(number[:])
+		}
 	}
 	return h.Sum64() | 1 // not 0, which means that there is no version
 }
