gateway: the write deadline of a stream begins with its head

Cause: relayStream set the write deadline to the request's own deadline once the worker's head had come. At that deadline the request is given up, and net/http could no longer write the 504.

Excluded: the request's timer, the choice of the refusal (both right in the log), and a deadline left from the request before (net/http clears it).

Change: the write deadline is set when the head is sent to the client, after which no refusal can follow.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -62,12 +62,16 @@
 // newPromptGateway returns a gateway whose requests state the shared parts of their prompt
 // in a header.
 func newPromptGateway(places []dispatch.Place) *gateway.Gateway {
+	return newStreamGateway(catalog.Route{Resumable: true, MaxAttempts: 2}, places)
+}
+
+// newStreamGateway is like newPromptGateway, with some properties of its only route set.
+func newStreamGateway(route catalog.Route, places []dispatch.Place) *gateway.Gateway {
+	route.Name, route.Host, route.Prefix, route.Kind, route.Anonymous = "r", "app.example", "/", catalog.Stream, true
+	route.Objective, route.Targets = promptObjective, []catalog.Target{{Service: "s", Weight: 1}}
 	c := catalog.New(catalog.Content{
 		Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "m", Size: 1}}}}},
-		Routes: []catalog.Route{{
-			Name: "r", Host: "app.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, Anonymous: true, Objective: promptObjective, MaxAttempts: 2,
-			Targets: []catalog.Target{{Service: "s", Weight: 1}},
-		}},
+		Routes: []catalog.Route{route},
 	})
 	dialect := testDialect
 	dialect.ParseCall = func(r *http.Request) (gateway.Call, error) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,7 +37,6 @@
 	if !meta.Signed || meta.Encoded {
 		return attemptResult{next: stepRetry, mayBeReceived: true, reason: "answer is not the server's"}, dispatch.Failed
 	}
-	a.setWriteDeadline()
 	a.begun = true
 	reader := newEventReader(answer.Body)
 	var repeated int64
@@ -122,7 +121,10 @@
 	return a.control.Flush()
 }
 
+// beginStream sends the head of the answer. The write deadline is not set earlier, since
+// it would also prevent the refusal of a request that is not answered by then.
 func (a *attempt) beginStream(answer *exchange.Answer) {
+	a.setWriteDeadline()
 	h := a.writer.Header()
 	for name, values := range endToEndHeader(answer.Header) {
 		h[name] = values
