catalog: a configuration whose last tenant was removed requires keys

Cause: having no accounts counted as asking for no keys, and DecodeConfig dropped the difference between a missing list and an empty one.

Excluded: a stale configuration, since other parts of the new version apply.

The product's own interface always needs a known key.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -117,16 +117,19 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// KeysRequired is set if requests need a key even if there are no accounts left, so that
+	// no key is valid. Accounts imply it.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // Catalog is an indexed, immutable version of the configuration.
 type Catalog struct {
-	content     Content
-	byHost      map[string][]*Route // longest prefix first
-	byName      map[string]*Service
-	byKey       map[string]*Account
-	hasAccounts bool
+	content      Content
+	byHost       map[string][]*Route // longest prefix first
+	byName       map[string]*Service
+	byKey        map[string]*Account
+	keysRequired bool
 }
 
 // New returns the indexed form of a configuration.
@@ -154,7 +157,7 @@
 			c.byKey[key] = a
 		}
 	}
-	c.hasAccounts = len(content.Accounts) > 0
+	c.keysRequired = content.KeysRequired || len(content.Accounts) > 0
 	return c
 }
 
@@ -194,8 +197,8 @@
 }
 
 // NeedsKey reports whether requests on a route must carry a key. No route needs one if
-// there are no client accounts.
-func (c *Catalog) NeedsKey(r *Route) bool { return c.hasAccounts && !r.Anonymous }
+// the configuration has neither client accounts nor KeysRequired.
+func (c *Catalog) NeedsKey(r *Route) bool { return c.keysRequired && !r.Anonymous }
 
 // Target selects a service for a request by the weights of the route's targets. draw is
 // a random number in [0, 1).
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -55,6 +55,9 @@
 	g.Expect(c.NeedsKey(drafts)).To(BeTrue())
 	g.Expect(c.NeedsKey(open)).To(BeFalse())
 	g.Expect(catalog.New(catalog.Content{}).NeedsKey(drafts)).To(BeFalse(), "without accounts, no key is needed")
+	last := catalog.New(catalog.Content{KeysRequired: true})
+	g.Expect(last.NeedsKey(drafts)).To(BeTrue(), "the last account was removed")
+	g.Expect(last.NeedsKey(open)).To(BeFalse())
 }
 
 func TestTarget(t *testing.T) {
