catalog: an empty key belongs to no account

Callers could see: a configuration with an empty string among a tenant's keys let requests without a key run as that tenant.

Cause: a request without a key is looked up as the empty key.

Change: New leaves empty keys out.

Evidence: TestEmptyKeyIsNoKey fails before.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -154,7 +154,9 @@
 	for i := range content.Accounts {
 		a := &content.Accounts[i]
 		for _, key := range a.Keys {
-			c.byKey[key] = a
+			if key != "" { // would be the key of requests without one
+				c.byKey[key] = a
+			}
 		}
 	}
 	c.keysRequired = content.KeysRequired || len(content.Accounts) > 0
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -60,6 +60,16 @@
 	g.Expect(last.NeedsKey(open)).To(BeFalse())
 }
 
+// A request without a key must not belong to an account that lists an empty key.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New(catalog.Content{Accounts: []catalog.Account{{Name: "library", Keys: []string{"", "k"}}}})
+	_, ok := c.Account("")
+	g.Expect(ok).To(BeFalse())
+	_, ok = c.Account("k")
+	g.Expect(ok).To(BeTrue())
+}
+
 func TestTarget(t *testing.T) {
 	r := catalog.Route{Targets: []catalog.Target{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
 	for _, c := range []struct {
