gateway: an attempt at a silent server ends only when another place has its request

Cause: all attempts at a head were cancelled after 1.1 s without an event, and those of safe requests after three objectives. Whether another attempt, a place and a retry were left was decided afterwards; if not, the client's connection was closed. Streams also moved between heads that were all silent.

Change: a place and a retry are reserved first, and the attempt is cancelled only then. Without them it goes on, and the reservation is tried again.

Evidence: TestStreamOfASilentServerGoesOn (four of five subtests) and TestSafeRequestWaitsForItsServerIfNoneElseTakesIt (one of two) fail before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,14 +19,14 @@
 	// declinedCooldown is how long a place gets no new requests after it declined one.
 	declinedCooldown = 150 * time.Millisecond
 	// answerTimeoutFactor times the latency objective of the route is how long an
-	// attempt of a safe request may take before the request is sent to another
+	// attempt of a safe request may take before the request is handed over to another
 	// backend server. minAnswerTimeout is the lower bound of that time.
 	answerTimeoutFactor = 3
 	minAnswerTimeout    = 250 * time.Millisecond
 )
 
 // errAnswerTimeout is the cause that cancels an attempt whose backend server does
-// not answer in time.
+// not answer in time, once another one has taken its request.
 var errAnswerTimeout = errors.New("backend server does not answer")
 
 // nextStep is what happens to a request after an attempt.
@@ -55,9 +55,8 @@
 	if refused := q.blockedRefusal(); refused != nil {
 		return attemptResult{next: stepGiveUp, refusal: *refused}
 	}
-	ticket := q.newTicket(s)
 	waitStart := time.Now()
-	d, err := g.Places.Acquire(ctx, ticket)
+	ticket, d, err := q.acquirePlace(ctx, s)
 	q.lastDecision = d
 	g.Metrics.WaitTime.Observe(time.Since(waitStart).Seconds())
 	if err != nil {
@@ -85,9 +84,13 @@
 	})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, run: d.Place.Run, ticket: ticket, cancel: cancel, state: s}
+	a := &attempt{
+		request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, run: d.Place.Run, ticket: ticket, cancel: cancel, state: s,
+		handover: q.newHandover(d.Place.ID),
+	}
 	res, dispatchResult := a.send(ctx, remaining)
 	result = dispatchResult
+	q.next = a.handover.end()
 	if res.next == stepRetry {
 		q.tried = append(q.tried, d.Place.ID)
 		q.recordFailure(d.Place.ID, res, s, time.Since(sent))
@@ -147,6 +150,7 @@
 	state  *streamState
 	begun  bool // the backend server has sent the head of a stream
 	events int  // that it has sent
+	*handover
 }
 
 // send sends the request to the backend server of the attempt and passes the answer
@@ -162,13 +166,14 @@
 		LastEvent: a.state.lastEvent, Resumed: a.state.headSent, HasPrompt: q.service.Engine != nil,
 	})
 	running := &headAttempt{}
-	if q.route.Repeatable() && q.service.Engine != nil {
-		running.cancel = a.cancel
+	if q.service.Engine != nil && a.handover.allowed {
+		running.handOver = func() { a.handOver(errStalled) }
 	}
 	g.Progress.begin(a.server.ID, running)
 	defer g.Progress.end(a.server.ID, running)
 	g.Metrics.Attempts.WithLabelValues(a.attemptKind()).Inc()
-	answer, err := g.Pool.Do(a.withAnswerTimeout(ctx), a.server, &exchange.Request{
+	a.startAnswerTimeout(ctx)
+	answer, err := g.Pool.Do(ctx, a.server, &exchange.Request{
 		Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body,
 		NeedsFreshConn: !q.route.Repeatable(),
 		OwnsAnswer:     a.ownsAnswer,
@@ -217,16 +222,12 @@
 	return "first"
 }
 
-// withAnswerTimeout starts a timer that cancels the attempt with errAnswerTimeout
-// if its request is safe and may still be sent to another backend server.
-func (a *attempt) withAnswerTimeout(ctx context.Context) context.Context {
-	if a.route.Kind != catalog.Safe || a.sends+1 >= a.route.MaxAttempts {
-		return ctx
+// startAnswerTimeout starts a timer that hands the request over if it is safe and may
+// still be sent to another backend server.
+func (a *attempt) startAnswerTimeout(ctx context.Context) {
+	if a.route.Kind == catalog.Safe && a.handover.allowed {
+		a.handOverAfter(ctx, max(answerTimeoutFactor*a.route.Objective, minAnswerTimeout), errAnswerTimeout)
 	}
-	timeout := max(answerTimeoutFactor*a.route.Objective, minAnswerTimeout)
-	timer := time.AfterFunc(timeout, func() { a.cancel(errAnswerTimeout) })
-	context.AfterFunc(ctx, func() { timer.Stop() })
-	return ctx
 }
 
 // ownsAnswer reports whether an answer belongs to this request. What an answer says of
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,117 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chicorystall/chicorystall/internal/gateway"
+	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/retry"
+)
+
+// newSilentServer returns a server that counts the requests it gets. It is silent for a
+// while before the second event of the first stream.
+func newSilentServer(t *testing.T, silence time.Duration) (address string, requests *atomic.Int32) {
+	requests = &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		first := requests.Add(1) == 1
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Signed", "yes")
+		for id := range 3 {
+			if first && id == 1 {
+				select {
+				case <-r.Context().Done():
+					return
+				case <-time.After(silence):
+				}
+			}
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", id+1)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), requests
+}
+
+// A backend server was silent for over a second and went on. Its streams were cut although
+// no other place could take them.
+func TestStreamOfASilentServerGoesOn(t *testing.T) {
+	const silence = 2 * time.Second
+	for _, c := range []struct {
+		name     string
+		places   int
+		attempts int
+		prep     func(*gateway.Gateway)
+		want     int32 // requests that servers get
+	}{
+		{"no other place", 1, 2, nil, 1},
+		{"no further attempt", 2, 1, nil, 1},
+		{"the other place is full", 2, 2, func(gw *gateway.Gateway) {
+			gw.Places.SetPeerLoads("entry-2", map[string]dispatch.Load{"server-1": {Running: 4}})
+		}, 1},
+		{"the retry budget is spent", 2, 2, func(gw *gateway.Gateway) {
+			gw.Retries = gateway.Retries{New: func() *retry.Budget { return &retry.Budget{Burst: 1, MinPerSecond: -1, Ratio: 1e-9} }}
+		}, 1},
+		{"another place takes it", 2, 2, nil, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			address, requests := newSilentServer(t, silence)
+			gw := newStreamGateway(catalog.Route{Resumable: true, MaxAttempts: c.attempts}, twoPlaces(address)[:c.places])
+			go func() { _ = gw.Places.Run(t.Context()) }()
+			go func() { _ = gw.Progress.Run(t.Context(), func(place string) { gw.Places.Avoid(place, time.Second) }) }()
+			if c.prep != nil {
+				c.prep(gw)
+			}
+			front := httptest.NewServer(gw)
+			defer front.Close()
+			status, whole := sendPrompt(g, front.URL, "r", "common")
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(whole).To(BeTrue())
+			g.Expect(requests.Load()).To(Equal(c.want))
+		})
+	}
+}
+
+// A safe request was answered 502 when its backend server took longer than the answer
+// timeout and no other place could take it.
+func TestSafeRequestWaitsForItsServerIfNoneElseTakesIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		places int
+		want   int32
+	}{
+		{"no other place", 1, 1},
+		{"another place takes it", 2, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			address, requests := newSilentServer(t, time.Second)
+			gw := newStreamGateway(catalog.Route{Resumable: true, MaxAttempts: 2}, twoPlaces(address)[:c.places])
+			view := gw.View()
+			safe := catalog.New(catalog.Content{
+				Version: 1, Services: view.Catalog.Services(),
+				Routes: []catalog.Route{{
+					Name: "r", Host: "app.example", Prefix: "/", Kind: catalog.Safe, Anonymous: true, Objective: 100 * time.Millisecond, MaxAttempts: 2,
+					Targets: []catalog.Target{{Service: "s", Weight: 1}},
+				}},
+			})
+			gw.View = func() gateway.View { return gateway.View{Catalog: safe, ConfirmedAt: view.ConfirmedAt} }
+			front := httptest.NewServer(gw)
+			defer front.Close()
+			status, whole := sendPrompt(g, front.URL, "r", "common")
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(whole).To(BeTrue())
+			g.Expect(requests.Load()).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/gateway/moving_test.go
+++ b/internal/gateway/moving_test.go
@@ -20,7 +20,7 @@
 		g := NewWithT(t)
 		var p Progress
 		p.begin("h", &headAttempt{})
-		p.heads["h"].silentSince = time.Now().Add(-2 * stallCancelAfter)
+		p.heads["h"].silentSince = time.Now().Add(-2 * stallHandOverAfter)
 		p.check(time.Now(), true, func(string) {})
 		g.Expect(p.Moving(time.Now())).To(BeEmpty())
 	})
@@ -47,13 +47,13 @@
 		{"a request was sent", func(p *Progress, now time.Time) {
 			f := &headAttempt{}
 			p.begin("h", f)
-			p.heads["h"].silentSince = now.Add(-2 * stallCancelAfter)
+			p.heads["h"].silentSince = now.Add(-2 * stallHandOverAfter)
 			p.end("h", f)
 			p.begin("h", f)
 		}},
 		{"the process was suspended", func(p *Progress, now time.Time) {
 			p.begin("h", &headAttempt{})
-			p.heads["h"].silentSince = now.Add(-2 * stallCancelAfter)
+			p.heads["h"].silentSince = now.Add(-2 * stallHandOverAfter)
 			p.check(now, true, func(string) {})
 		}},
 	} {
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -121,6 +121,13 @@
 	return dispatch.Decision{}, context.Cause(ctx)
 }
 
+// TryAcquire returns a place for a ticket if one is free now.
+func (p *Places) TryAcquire(t *dispatch.Ticket) (dispatch.Decision, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.TryAssign(time.Now(), t)
+}
+
 // NoteFirstEvent records that the place of a ticket has sent its first event, so that
 // the prompt no longer counts towards the load of the place.
 func (p *Places) NoteFirstEvent(t *dispatch.Ticket) {
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -17,10 +17,10 @@
 	// stallAvoidAfter is the time without an event after which a head gets no new
 	// requests.
 	stallAvoidAfter = 450 * time.Millisecond
-	// stallCancelAfter is the time without an event after which the attempts at a
-	// head are cancelled. Clients wait two seconds at least, which leaves time to
-	// resume elsewhere.
-	stallCancelAfter = 1100 * time.Millisecond
+	// stallHandOverAfter is the time without an event after which the attempts at a
+	// head are handed over to other places. Clients wait two seconds at least, which
+	// leaves time to resume elsewhere.
+	stallHandOverAfter = 1100 * time.Millisecond
 	// movingWindow is how long a head counts as moving after its last event.
 	movingWindow = 500 * time.Millisecond
 	// suspendedGap is the time between two checks above which the second concludes
@@ -28,7 +28,8 @@
 	suspendedGap = 3 * progressCheckInterval
 )
 
-// errStalled is the cause that cancels an attempt whose group makes no progress.
+// errStalled is the cause that cancels an attempt whose group makes no progress, once
+// another place has taken its request.
 var errStalled = errors.New("group makes no progress")
 
 // Progress detects groups that are stalled, by the events that their heads send.
@@ -46,7 +47,7 @@
 }
 
 // head is a place with attempts in progress. The plain workers of a service without
-// an engine are watched too, but their attempts are not cancelled.
+// an engine are watched too, but their attempts are not handed over.
 type head struct {
 	attempts    map[*headAttempt]struct{}
 	silentSince time.Time // start of the time without an event: the last event, first attempt or suspension
@@ -56,7 +57,7 @@
 
 // headAttempt is an attempt that a head works on.
 type headAttempt struct {
-	cancel context.CancelCauseFunc // nil if the request must not be sent to another place
+	handOver func() // hands the request over if another place takes it; nil if none may
 }
 
 // begin records that an attempt was sent to a place.
@@ -169,6 +170,15 @@
 
 // check checks the heads and reports whether there are any.
 func (p *Progress) check(now time.Time, suspended bool, avoid func(place string)) bool {
+	stalled, watching := p.checkHeads(now, suspended, avoid)
+	for _, a := range stalled {
+		a.handOver()
+	}
+	return watching
+}
+
+// checkHeads is check, but only returns the attempts to hand over.
+func (p *Progress) checkHeads(now time.Time, suspended bool, avoid func(place string)) (stalled []*headAttempt, watching bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for place, h := range p.heads {
@@ -184,14 +194,14 @@
 		if idle >= stallAvoidAfter {
 			avoid(place)
 		}
-		if idle < stallCancelAfter {
+		if idle < stallHandOverAfter {
 			continue
 		}
 		for a := range h.attempts {
-			if a.cancel != nil {
-				a.cancel(errStalled)
+			if a.handOver != nil {
+				stalled = append(stalled, a)
 			}
 		}
 	}
-	return len(p.heads) > 0
+	return stalled, len(p.heads) > 0
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,7 @@
 	sends        int    // attempts that may have run
 	contacts     int    // attempts that reached a backend server
 	tried        []string
+	next         *reservation // the place of the next attempt; nil if none was reserved
 	lastDecision dispatch.Decision
 }
 
@@ -211,6 +212,7 @@
 func (q *request) run(ctx context.Context) {
 	var s streamState
 	s.lastEvent = q.call.LastEvent
+	defer func() { q.next.release(q.gateway) }()
 	for {
 		res := q.tryOnce(ctx, &s)
 		switch res.next {
@@ -246,7 +248,7 @@
 		return &failed
 	case q.sends >= q.route.MaxAttempts, q.contacts >= q.route.MaxAttempts+maxDeclined:
 		return &failed
-	case res.mayBeReceived && !q.gateway.Retries.forService(q.service.Name).Take(time.Now()):
+	case res.mayBeReceived && q.next == nil && !q.gateway.Retries.forService(q.service.Name).Take(time.Now()):
 		q.trace.Add("retry budget is spent", nil)
 		return &failed
 	}
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -7,24 +7,20 @@
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
 )
 
-// newTicket returns the ticket by which the request is assigned a place. A
-// resumed stream gets a new latency objective that starts now.
-func (q *request) newTicket(s *streamState) *dispatch.Ticket {
+// newTicket returns the ticket by which the request is assigned a place other than
+// those tried, with a latency objective that begins at start.
+func (q *request) newTicket(start time.Time, tried []string) *dispatch.Ticket {
 	objective := q.route.Objective
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	start := q.arrived
-	if s.headSent {
-		start = time.Now()
-	}
 	ticket := &dispatch.Ticket{
 		Service:           q.service.Name,
 		DataCentre:        q.gateway.DataCentre,
 		Priority:          q.priority,
 		LatestOnTimeStart: start.Add(objective),
 		LatestStart:       start.Add(objective),
-		Tried:             q.tried,
+		Tried:             tried,
 		Arrived:           start,
 	}
 	if q.service.Engine != nil {
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -250,6 +250,20 @@
 	return d
 }
 
+// TryAssign assigns a place to a ticket if one is free now. Otherwise it reports false and
+// leaves the ticket as it was; it never waits.
+func (s *Scheduler) TryAssign(now time.Time, t *Ticket) (Decision, bool) {
+	k := serviceModel{t.Service, t.Model}
+	p := s.bestPlace(now, t)
+	if p == nil || s.outranked(now, k, t) {
+		return Decision{}, false
+	}
+	d := s.newDecision(k, t)
+	d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
+	s.assign(now, t, p)
+	return d, true
+}
+
 // outranked reports whether a waiting ticket precedes t.
 func (s *Scheduler) outranked(now time.Time, k serviceModel, t *Ticket) bool {
 	for _, w := range s.waiting[k] {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -83,8 +83,8 @@
 	return float64(b.earned.atMost(now, b.Window)+1) <= allowed
 }
 
-// refund puts back a retry that was taken but not made.
-func (b *Budget) refund() {
+// Refund puts back a retry that was taken but not made.
+func (b *Budget) Refund() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.addTokens(1)
@@ -162,7 +162,7 @@
 		return false
 	}
 	if !b.server(server).Take(now) {
-		b.Instance.refund()
+		b.Instance.Refund()
 		return false
 	}
 	return true
