gateway: requests that a graceful stop can't answer are refused, not cut

Cause: requests knew nothing of the stop's end; their time was the client's, and http.Server.Close ended them. A head that came early with a late body was the way in; connections that are idle by then are closed unread.

Change: Stop takes the time until which all requests are taken, and its end. After the first, a request that may last beyond the end is refused with 503 before it is sent. Deadlines end with the stop, and what is in progress then is answered 504 or 503.

Evidence: TestRequestsAreAnsweredAtTheEndOfAStop fails before ("the connection ended without an answer") and passes after.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -89,6 +89,15 @@
 	return gw
 }
 
+// setRoute replaces the only route of a gateway by one with some properties set.
+func setRoute(gw *gateway.Gateway, route catalog.Route) {
+	view := gw.View()
+	route.Name, route.Host, route.Prefix, route.Anonymous = "r", "app.example", "/", true
+	route.Targets = []catalog.Target{{Service: "s", Weight: 1}}
+	view.Catalog = catalog.New(catalog.Content{Version: 1, Services: view.Catalog.Services(), Routes: []catalog.Route{route}})
+	gw.View = func() gateway.View { return view }
+}
+
 // twoPlaces returns two places at the same address, so that a server sees the second
 // attempt of a request, too.
 func twoPlaces(address string) []dispatch.Place {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,9 +49,9 @@
 	// Suspects finds the parts of prompts that crash backend servers.
 	Suspects Suspects
 
-	stopping atomic.Bool
-	open     atomic.Int64 // number of requests in progress
-	served   atomic.Bool  // a client has sent a request that matched a route
+	stop   stop
+	open   atomic.Int64 // number of requests in progress
+	served atomic.Bool  // a client has sent a request that matched a route
 }
 
 // Retries holds the retry budget of each service. The zero value is ready to use.
@@ -79,10 +79,6 @@
 	return b
 }
 
-// Stop closes each connection after its next answer, so that clients connect to
-// another instance.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
@@ -93,7 +89,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	if g.stopping.Load() {
+	if g.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -97,15 +97,7 @@
 			g := NewWithT(t)
 			address, requests := newSilentServer(t, time.Second)
 			gw := newStreamGateway(catalog.Route{Resumable: true, MaxAttempts: 2}, twoPlaces(address)[:c.places])
-			view := gw.View()
-			safe := catalog.New(catalog.Content{
-				Version: 1, Services: view.Catalog.Services(),
-				Routes: []catalog.Route{{
-					Name: "r", Host: "app.example", Prefix: "/", Kind: catalog.Safe, Anonymous: true, Objective: 100 * time.Millisecond, MaxAttempts: 2,
-					Targets: []catalog.Target{{Service: "s", Weight: 1}},
-				}},
-			})
-			gw.View = func() gateway.View { return gateway.View{Catalog: safe, ConfirmedAt: view.ConfirmedAt} }
+			setRoute(gw, catalog.Route{Kind: catalog.Safe, Objective: 100 * time.Millisecond, MaxAttempts: 2})
 			front := httptest.NewServer(gw)
 			defer front.Close()
 			status, whole := sendPrompt(g, front.URL, "r", "common")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -103,7 +103,10 @@
 		return refused
 	}
 	q.view = g.View()
-	return q.resolveRoute()
+	if refused := q.resolveRoute(); refused != nil {
+		return refused
+	}
+	return q.stoppingRefusal()
 }
 
 func (q *request) readBody() *refusal {
@@ -197,13 +200,16 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "configuration is not proven", retryAfter: staleRetryAfter}
 }
 
-// context returns a context that ends when the client disconnects or the deadline
-// of the request passes.
+// context returns a context that ends when the client disconnects, the deadline of the
+// request passes, or a graceful stop of the process ends.
 func (q *request) context() (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(q.incoming.Context())
 	timer := time.AfterFunc(time.Until(q.deadline), func() { cancel(errTimeout) })
+	lifetime, _ := q.gateway.stop.context()
+	detach := context.AfterFunc(lifetime, func() { cancel(errStopping) })
 	return ctx, func() {
 		timer.Stop()
+		detach()
 		cancel(nil)
 	}
 }
@@ -270,7 +276,7 @@
 		// Aborting the connection shows the client that the answer is incomplete.
 		q.recordEnd("cut", errors.Newf("stream broke off: %s", refused.reason))
 		panic(http.ErrAbortHandler)
-	case errors.Is(cause, errTimeout) && q.mayHaveRun:
+	case (errors.Is(cause, errTimeout) || errors.Is(cause, errStopping)) && q.mayHaveRun:
 		refused.status, refused.retryAfter = http.StatusGatewayTimeout, 0
 	}
 	q.refuse(refused)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,8 +18,10 @@
 
 const (
 	// shutdownMargin is the part of the grace time that is reserved for the steps
-	// after the last answer.
+	// after the last answer, and refusalMargin the part before it that is reserved for
+	// refusing the requests that are still in progress.
 	shutdownMargin = 300 * time.Millisecond
+	refusalMargin  = 200 * time.Millisecond
 	// acceptAfterStop is how long connections are accepted after a stop began. The
 	// load balancer probes once a second and removes an instance after the second
 	// failed probe.
@@ -72,11 +74,12 @@
 	group.Go(func() error { return s.accept(requests, &group) })
 	<-ctx.Done()
 	stopStart := time.Now()
-	s.Gateway.Stop()
+	acceptUntil, end := stopStart.Add(min(acceptAfterStop, s.GraceTime/2)), stopStart.Add(s.GraceTime-shutdownMargin)
+	s.Gateway.Stop(acceptUntil, end.Add(-refusalMargin))
 	s.Log.Info("stopping", telemetry.Fields{"open": s.Gateway.Open()})
-	time.Sleep(min(acceptAfterStop, s.GraceTime/2))
+	time.Sleep(time.Until(acceptUntil))
 	requests.Close()
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), stopStart.Add(s.GraceTime-shutdownMargin))
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	s.shutdown(shutdownCtx)
 	ready.Close()
