neighbour: a new relay doesn't lower the number of processes

Cause: where there are relays, the relay's count of its data centre replaces that of the others. A process that becomes relay before it could read the addresses, such as after a restart while the store is away, counts only those that it hears.

Excluded for the sites of up to 17 instances, which have no relays.

Found by reading; not seen in a run of the system.

--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -16,7 +16,8 @@
 }
 
 // processCount counts the peers that have not ended. For a data centre whose relay is
-// heard, what that counts replaces the own count. The caller holds the lock.
+// heard, what that counts replaces the own count. A new relay may know few of the others
+// yet, so that it is believed only if it counts more. The caller holds the lock.
 func (x *Exchanger) processCount(now time.Time) int {
 	known := map[string]int{x.DataCentre: 1}
 	for _, p := range x.peers {
@@ -27,6 +28,9 @@
 	total := 0
 	for dataCentre, count := range known {
 		if r, ok := x.processes[dataCentre]; ok && now.Sub(r.receivedAt) < processesFor && (dataCentre != x.DataCentre || !x.relaying) {
+			if now.Sub(r.since) < countedFor {
+				r.count = max(r.count, count)
+			}
 			count = r.count
 		}
 		total += count
@@ -167,13 +171,22 @@
 		x.relayHeard, x.processes = map[string]time.Time{}, map[string]relayedCount{}
 	}
 	x.relayHeard[d.DataCentre] = now
-	x.processes[d.DataCentre] = relayedCount{count: d.Processes, receivedAt: now}
+	x.noteCount(d, now)
 	for i := range d.Relayed {
 		r := &d.Relayed[i]
 		x.fillPlaces(r, now)
 		r.BufferedFor = d.BufferedFor
-		x.processes[r.DataCentre] = relayedCount{count: r.Processes, receivedAt: now}
+		x.noteCount(*r, now)
+	}
+}
+
+// noteCount stores the number of processes that a relay reported. The caller holds the lock.
+func (x *Exchanger) noteCount(d Digest, now time.Time) {
+	next := relayedCount{relay: d.Instance, started: d.Started, since: now, count: d.Processes, receivedAt: now}
+	if last, ok := x.processes[d.DataCentre]; ok && last.relay == next.relay && last.started == next.started {
+		next.since = last.since
 	}
+	x.processes[d.DataCentre] = next
 }
 
 // countsLoads reports whether the loads in a digest are not part of another digest's. The
--- a/internal/neighbour/late_test.go
+++ b/internal/neighbour/late_test.go
@@ -1,6 +1,7 @@
 package neighbour
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -152,3 +153,38 @@
 		})
 	}
 }
+
+// A process that became relay before it could read the addresses of the others counted
+// few. All instances of its data centre believed it, and each took a large share of what
+// they divide, such as the retries.
+func TestANewRelayDoesNotLowerTheNumberOfProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 40
+		g := NewWithT(t)
+		x := &Exchanger{Instance: "k", DataCentre: "a", OnDigest: func(Digest) {}, Listen: netip.MustParseAddrPort("127.0.2.1:1"), Started: time.Now()}
+		address := func(n int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 3, byte(n)}) }
+		for n := range instances - 1 {
+			x.AddNamed(address(n), fmt.Sprint("entry-", n), "a", 0)
+		}
+		var seq uint64
+		hear := func(relay, started, processes int) {
+			seq++
+			mustStoreDigest(t, x, address(relay), Digest{
+				Instance: fmt.Sprint("entry-", relay), DataCentre: "a", Started: int64(started), Seq: seq, Relay: true, Processes: processes,
+			})
+		}
+		hear(1, 1, 2)
+		g.Expect(x.ProcessCount()).To(Equal(instances), "a new relay that knows few")
+		hear(1, 1, instances+5)
+		g.Expect(x.ProcessCount()).To(Equal(instances+5), "a new relay that knows more")
+		for range 4 * int(countedFor/time.Second) {
+			time.Sleep(time.Second / 2)
+			hear(1, 1, instances-4)
+		}
+		g.Expect(x.ProcessCount()).To(Equal(instances-4), "a relay that would have heard the others")
+		hear(1, 2, 2)
+		g.Expect(x.ProcessCount()).To(Equal(instances), "a new run of it")
+		hear(2, 1, 2)
+		g.Expect(x.ProcessCount()).To(Equal(instances), "another relay")
+	})
+}
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -80,8 +80,11 @@
 	sendTimes     [sentHistory]time.Duration // send times on the clock of package boottime, indexed by sequence number modulo sentHistory
 }
 
-// relayedCount is the number of processes that a relay reported.
+// relayedCount is the number of processes that a run of a relay reported.
 type relayedCount struct {
+	relay      string
+	started    int64
+	since      time.Time // when that run was first heard as the relay of its data centre
 	count      int
 	receivedAt time.Time
 }
