gateway: the answer timeout ends when the answer is passed on

Cause: the timeout after which a safe request may go to another server went on while its answer was passed on.

Excluded: the write deadline, which is the request's own.

Change: the attempt stays at its place from then on.

Evidence: TestLongAnswerIsNotCutByTheAnswerTimeout fails before (unexpected EOF after 0.6 s).

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -36,7 +36,7 @@
 	tried   []string // places that it must not be sent to
 
 	mu       sync.Mutex
-	ended    bool // the attempt has ended by itself
+	ended    bool // the attempt stays at its place, or has ended by itself
 	reserved *reservation
 }
 
@@ -49,9 +49,9 @@
 }
 
 // handOver cancels the attempt if a place is free for the request elsewhere and the retry
-// budget allows it. It reports whether the attempt has ended. It may be called while the
-// attempt is in progress.
-func (a *attempt) handOver(cause error) (ended bool) {
+// budget allows it. It reports whether that is decided, so that there is no need to call it
+// again. It may be called while the attempt is in progress.
+func (a *attempt) handOver(cause error) (decided bool) {
 	h := a.handover
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -73,8 +73,8 @@
 	return true
 }
 
-// handOverAfter tries to hand the request over after a timeout, repeatedly until the
-// attempt has ended.
+// handOverAfter tries to hand the request over after a timeout, repeatedly until that is
+// decided.
 func (a *attempt) handOverAfter(ctx context.Context, timeout time.Duration, cause error) {
 	timer := time.AfterFunc(timeout, func() {
 		if ctx.Err() == nil && !a.handOver(cause) {
@@ -84,6 +84,15 @@
 	context.AfterFunc(ctx, func() { timer.Stop() })
 }
 
+// keep makes the attempt stay at its place, since its answer is about to be passed on. It
+// returns false if the attempt has been cancelled already.
+func (h *handover) keep() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+	return h.reserved == nil
+}
+
 // end ends the handover with its attempt and returns the reservation, if there is one.
 func (h *handover) end() *reservation {
 	h.mu.Lock()
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -107,3 +108,28 @@
 		})
 	}
 }
+
+// The answer timeout of a safe request went on while its answer was passed on, so that a
+// long answer was cut.
+func TestLongAnswerIsNotCutByTheAnswerTimeout(t *testing.T) {
+	const half = 512 << 10 // more than is buffered before an answer is passed on
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Signed", "yes")
+		w.Header().Set("Content-Length", strconv.Itoa(2*half))
+		_, _ = w.Write(make([]byte, half))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(600 * time.Millisecond)
+		_, _ = w.Write(make([]byte, half))
+	}))
+	defer server.Close()
+	gw := newPromptGateway(twoPlaces(server.Listener.Addr().String()))
+	setRoute(gw, catalog.Route{Kind: catalog.Safe, Objective: 100 * time.Millisecond, MaxAttempts: 2})
+	front := httptest.NewServer(gw)
+	defer front.Close()
+	status, body, err := receive(g, front.URL)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(HaveLen(2 * half))
+}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -73,6 +73,9 @@
 	case a.state.headSent:
 		return attemptResult{next: stepRetry, mayBeReceived: true, reason: "stream was not resumed: status " + strconv.Itoa(answer.Status)}, dispatch.Failed
 	}
+	if !a.handover.keep() && len(body) == maxBufferedBytes { // the rest can't be read
+		return a.failIncomplete(ctx, context.Cause(ctx))
+	}
 	a.gateway.Progress.noteEvent(a.server.ID, time.Now())
 	a.setWriteDeadline()
 	h := a.writer.Header()
