gateway: a head whose clients read slowly isn't silent

Cause: a stream that is blocked in a write to its client reads no events, and the time counted as silence of the head.

Excluded: the reservation that now precedes a handover; a free place exists in that case.

Change: a head whose attempts are all writing isn't silent. One that waits for events is enough to tell.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,13 +143,14 @@
 // that a Dialect writes into headers.
 type attempt struct {
 	*request
-	server exchange.Server
-	run    int64 // of the server
-	ticket *dispatch.Ticket
-	cancel context.CancelCauseFunc
-	state  *streamState
-	begun  bool // the backend server has sent the head of a stream
-	events int  // that it has sent
+	server   exchange.Server
+	run      int64 // of the server
+	ticket   *dispatch.Ticket
+	cancel   context.CancelCauseFunc
+	state    *streamState
+	begun    bool // the backend server has sent the head of a stream
+	events   int  // that it has sent
+	progress headAttempt
 	*handover
 }
 
@@ -165,12 +166,11 @@
 		ServerID: a.server.ID, Remaining: remaining, Account: q.account,
 		LastEvent: a.state.lastEvent, Resumed: a.state.headSent, HasPrompt: q.service.Engine != nil,
 	})
-	running := &headAttempt{}
 	if q.service.Engine != nil && a.handover.allowed {
-		running.handOver = func() { a.handOver(errStalled) }
+		a.progress.handOver = func() { a.handOver(errStalled) }
 	}
-	g.Progress.begin(a.server.ID, running)
-	defer g.Progress.end(a.server.ID, running)
+	g.Progress.begin(a.server.ID, &a.progress)
+	defer g.Progress.end(a.server.ID, &a.progress)
 	g.Metrics.Attempts.WithLabelValues(a.attemptKind()).Inc()
 	a.startAnswerTimeout(ctx)
 	answer, err := g.Pool.Do(ctx, a.server, &exchange.Request{
--- a/internal/gateway/moving_test.go
+++ b/internal/gateway/moving_test.go
@@ -69,3 +69,35 @@
 		})
 	}
 }
+
+// A stream that is blocked by its client receives no events. That doesn't show that its
+// head is silent.
+func TestAHeadWhoseClientsReadSlowlyIsNotSilent(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		others      int // attempts that wait for events
+		wantStalled bool
+	}{
+		{"all clients read slowly", 0, false},
+		{"an attempt waits for events", 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var p Progress
+			handedOver := 0
+			a := &headAttempt{handOver: func() { handedOver++ }}
+			p.begin("h", a)
+			p.setWriting(a, true)
+			for range c.others {
+				p.begin("h", &headAttempt{})
+			}
+			now := time.Now()
+			p.check(now.Add(2*stallHandOverAfter), false, func(string) {})
+			g.Expect(p.Stalled() != nil).To(Equal(c.wantStalled))
+			g.Expect(handedOver > 0).To(Equal(c.wantStalled))
+			p.setWriting(a, false)
+			p.check(now.Add(2*stallHandOverAfter+stallReportAfter/2), false, func(string) {})
+			g.Expect(p.Stalled() != nil).To(Equal(c.wantStalled), "the time of the write doesn't count")
+		})
+	}
+}
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -57,6 +57,7 @@
 
 // headAttempt is an attempt that a head works on.
 type headAttempt struct {
+	writing  bool   // the attempt is writing to its client, and so receives no events
 	handOver func() // hands the request over if another place takes it; nil if none may
 }
 
@@ -92,6 +93,23 @@
 	}
 }
 
+// setWriting records whether an attempt at a place is writing to its client.
+func (p *Progress) setWriting(a *headAttempt, writing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.writing = writing
+}
+
+// allWriting reports whether no attempt at the head waits for events.
+func (h *head) allWriting() bool {
+	for a := range h.attempts {
+		if !a.writing {
+			return false
+		}
+	}
+	return true
+}
+
 // wakeChannel returns the channel that receives when there is a head to check. The
 // caller holds the lock.
 func (p *Progress) wakeChannel() chan struct{} {
@@ -182,7 +200,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for place, h := range p.heads {
-		if suspended {
+		if suspended || h.allWriting() {
 			h.silentSince = now
 			continue
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,6 +109,8 @@
 // writeEvent writes an event to the client, preceded by the head of the answer if it
 // is the first. It flushes unless further events are buffered.
 func (a *attempt) writeEvent(e event, answer *exchange.Answer, moreBuffered bool) error {
+	a.gateway.Progress.setWriting(&a.progress, true)
+	defer a.gateway.Progress.setWriting(&a.progress, false)
 	if !a.state.headSent {
 		a.beginStream(answer)
 	}
