--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -41,6 +41,14 @@
 	return server.Listener.Addr().String(), requests
 }
 
+func expectWholeAnswer(g *WithT, gw *gateway.Gateway) {
+	front := httptest.NewServer(gw)
+	defer front.Close()
+	status, whole := sendPrompt(g, front.URL, "r", "common")
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(whole).To(BeTrue())
+}
+
 // A backend server was silent for over a second and went on. Its streams were cut although
 // no other place could take them.
 func TestStreamOfASilentServerGoesOn(t *testing.T) {
@@ -72,11 +80,7 @@
 			if c.prep != nil {
 				c.prep(gw)
 			}
-			front := httptest.NewServer(gw)
-			defer front.Close()
-			status, whole := sendPrompt(g, front.URL, "r", "common")
-			g.Expect(status).To(Equal(http.StatusOK))
-			g.Expect(whole).To(BeTrue())
+			expectWholeAnswer(g, gw)
 			g.Expect(requests.Load()).To(Equal(c.want))
 		})
 	}
@@ -99,11 +103,7 @@
 			address, requests := newSilentServer(t, time.Second)
 			gw := newStreamGateway(catalog.Route{Resumable: true, MaxAttempts: 2}, twoPlaces(address)[:c.places])
 			setRoute(gw, catalog.Route{Kind: catalog.Safe, Objective: 100 * time.Millisecond, MaxAttempts: 2})
-			front := httptest.NewServer(gw)
-			defer front.Close()
-			status, whole := sendPrompt(g, front.URL, "r", "common")
-			g.Expect(status).To(Equal(http.StatusOK))
-			g.Expect(whole).To(BeTrue())
+			expectWholeAnswer(g, gw)
 			g.Expect(requests.Load()).To(Equal(c.want))
 		})
 	}
