--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -214,6 +214,9 @@
 	i.metrics.Gauge("config_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return i.state.View().Age().Seconds()
 	})
+	i.metrics.Gauge("counted_processes", "Processes among which this one divides the retry allowance and the rate of cold places.", func() float64 {
+		return float64(i.exchanger.ProcessCount())
+	})
 	i.metrics.Gauge("spare_workers", "Model workers of the data centre in no group, told by its keeper.", func() float64 {
 		return float64(i.keeper.SpareWorkers())
 	})
