claim: a claimant's group holds a goroutine before Begin can add others

Cause: Run unlocked before its errgroup held a goroutine, so that a Begin in between called Go while Wait had begun. The trace names both.

Change: the goroutine that waits for the context is added under the lock.

Evidence: by construction.

--- a/pkg/claim/claimant.go
+++ b/pkg/claim/claimant.go
@@ -77,7 +77,7 @@
 	for _, r := range c.runners {
 		c.spawn(r)
 	}
-	c.mu.Unlock()
+	// The group must hold a goroutine before Begin may add others, which would race with Wait.
 	g.Go(func() error {
 		<-ctx.Done()
 		c.mu.Lock()
@@ -85,6 +85,7 @@
 		c.mu.Unlock()
 		return ctx.Err()
 	})
+	c.mu.Unlock()
 	return g.Wait()
 }
 
