gateway: log and count requests whose connection ends without a whole answer

Cause: the log of a request ends with its handler, but net/http writes the last part of an answer after it, and after Shutdown closes connections whose request it has read without calling a handler.

Excluded: a flush before the outcome is logged. Clients would get their answers before the place was released and the line written, and the end of a stream can't be flushed.

Change: connections of clients note what was read and written since the last answer. Log line "no whole answer" with its cause, metric lost_answers_total.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -90,6 +90,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "malformed"}
 	}
 	q.call, q.trace.Request = call, call.ID
+	clientConnOf(q.incoming).begin(call.ID)
 	q.view = g.View()
 	if q.view.Catalog == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: staleRetryAfter}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -127,7 +127,7 @@
 		s.refuseConn(conn)
 		return
 	}
-	if !server.deliver(conn) {
+	if !server.deliver(&clientConn{Conn: conn, onLoss: s.noteLoss}) {
 		s.limiter.releaseConn()
 	}
 }
@@ -151,6 +151,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnState:         s.limiter.onState,
+		ConnContext:       clientConnContext,
 	}
 	s.limits, s.current = limits, server
 	s.listener = &connListener{addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -160,6 +161,12 @@
 	return s.listener, limits
 }
 
+// noteLoss logs and counts a request whose connection ended without a whole answer.
+func (s *Server) noteLoss(l loss, fields telemetry.Fields) {
+	s.Gateway.Metrics.LostAnswers.WithLabelValues(l.String()).Inc()
+	s.Log.Info("no whole answer", fields)
+}
+
 func (s *Server) shutdown(ctx context.Context) {
 	s.mu.Lock()
 	servers := s.servers
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -17,6 +17,7 @@
 	Attempts        *prometheus.CounterVec   // by reason
 	Failures        *prometheus.CounterVec   // failed attempts, by reason
 	Refusals        *prometheus.CounterVec   // by reason
+	LostAnswers     *prometheus.CounterVec   // connections that ended without the whole answer to a request, by cause
 	Bars            *prometheus.CounterVec   // servers that said that they want no requests, by cause
 	StoreCalls      *prometheus.CounterVec   // by call and outcome
 	StoreTime       *prometheus.HistogramVec // seconds, by call
@@ -56,6 +57,7 @@
 	m.Attempts = counter("attempts_total", "Requests sent to backend servers.", "reason")
 	m.Failures = counter("attempt_failures_total", "Attempts at backend servers that failed.", "reason")
 	m.Refusals = counter("refusals_total", "Requests that were refused.", "reason")
+	m.LostAnswers = counter("lost_answers_total", "Connections of clients that ended without the whole answer to a request.", "cause")
 	m.Bars = counter("bars_total", "Times that a backend server began to get no requests by its own word.", "cause")
 	m.StoreCalls = counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
 	m.StoreTime = histogram("store_call_seconds", "Time of calls to the platform's store.", "call")
