gateway: answers that are whole at the deadline of their request are sent

Cause: callers of routes with a short timeout got a closed connection. The write deadline of the client's connection was the deadline of the request, so an answer, such as a server's own 504 at its timeout, that was whole as the deadline passed was made, logged as served, and could not be written. One time limited both how long to wait for an answer and how long to send it. A configuration that lowers a timeout makes many meet it.

Excluded: the refusal of the instance itself, which set no write deadline; a deadline left from the request before, which net/http clears.

Change: the write deadline is a second after the request's, or after the time at which the answer exists if that is later. Refusals have it too; they had none.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -298,6 +298,7 @@
 		"waiting": q.lastDecision.Waiting, "free": q.lastDecision.FreeSlots, "places": q.lastDecision.Places,
 	})
 	q.gateway.Metrics.Refusals.WithLabelValues(refused.reason).Inc()
+	q.setWriteDeadline()
 	q.writer.WriteHeader(refused.status)
 	_, err := io.WriteString(q.writer, text)
 	q.recordEnd("refused", err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,8 +123,7 @@
 	return a.control.Flush()
 }
 
-// beginStream sends the head of the answer. The write deadline is not set earlier, since
-// it would also prevent the refusal of a request that is not answered by then.
+// beginStream sends the head of the answer.
 func (a *attempt) beginStream(answer *exchange.Answer) {
 	a.setWriteDeadline()
 	h := a.writer.Header()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -149,8 +149,19 @@
 	return n, err
 }
 
-func (a *attempt) setWriteDeadline() {
-	if err := a.control.SetWriteDeadline(a.deadline); err != nil {
-		a.trace.Add("write deadline was not set", telemetry.Fields{"error": err.Error()})
+// sendTime is how long it may take to send an answer that exists at the deadline of its
+// request. It is longer than bodyDrainTime, by which net/http may delay an answer.
+const sendTime = time.Second
+
+// setWriteDeadline limits the time to send an answer, also a refusal. It is not the
+// deadline of the request, which limits the time to get the answer: what exists then is
+// still sent.
+func (q *request) setWriteDeadline() {
+	deadline := q.deadline
+	if now := time.Now(); deadline.Before(now) {
+		deadline = now
+	}
+	if err := q.control.SetWriteDeadline(deadline.Add(sendTime)); err != nil {
+		q.trace.Add("write deadline was not set", telemetry.Fields{"error": err.Error()})
 	}
 }
