gateway: requests that are arriving as a stop closes connections are answered

Cause: callers on kept connections got a closed connection around SIGTERM, and no log had a line of it. http.Server.Shutdown closes connections that net/http counts as idle until the whole head is parsed, so also while a request arrives; and once it has begun, net/http closes each connection whose next request it has read, without calling the handler.

Change: the server closes connections itself. A connection counts as idle only while no byte of a request has been read; what has arrived at the last moment is read and answered, also when the idle timeout passes. A stop waits for the others, until its end.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -33,12 +35,15 @@
 	net.Conn
 	onLoss func(loss, telemetry.Fields) // called at most once; may be nil
 
-	mu       sync.Mutex
-	request  string // ID of the request in progress, once its handler has parsed it
-	received int64  // bytes read since the last answer
-	sent     int64  // bytes written since the last answer
-	readErr  error  // after which the connection ends for another reason than its server
-	ended    bool   // closed or reported
+	mu           sync.Mutex
+	request      string    // ID of the request in progress, once its handler has parsed it
+	received     int64     // bytes read of the request in progress; 0 means that the connection is idle
+	early        int64     // bytes read since the last write, which belong to the next request once the answer is sent
+	sent         int64     // bytes written since the last answer
+	readErr      error     // after which the connection ends for another reason than its server
+	readDeadline time.Time // set by net/http
+	closing      bool      // closed when it is idle
+	ended        bool      // closed or reported
 }
 
 type clientConnKey struct{}
@@ -71,23 +76,77 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request, c.received, c.sent, c.readErr = "", 0, 0, nil
+	c.request, c.received, c.sent, c.readErr = "", c.early, 0, nil
+	c.endReads()
 }
 
-// Read implements io.Reader.
+// closeWhenIdle makes net/http close the connection as soon as no request is in progress
+// or arriving. A request that has arrived by then is still answered.
+func (c *clientConn) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.endReads()
+}
+
+// endReads ends the wait for a request if the connection is idle and to be closed. The
+// mutex must be held.
+func (c *clientConn) endReads() {
+	if c.closing && c.received == 0 {
+		// It fails only for a connection that is closed already.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.closing && c.received == 0 {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements io.Reader. At the end of the wait for a request it reads what has
+// arrived at the last moment.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	idle, timedOut := c.received == 0, errors.Is(err, os.ErrDeadlineExceeded)
+	if idle && timedOut {
+		if n = receiveNow(c.Conn, p, 0); n > 0 {
+			err = nil
+		}
+	}
 	c.received += int64(n)
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	c.early += int64(n)
+	switch {
+	case idle && n > 0 && (timedOut || c.closing):
+		return n, c.Conn.SetReadDeadline(c.headDeadline())
+	case err != nil && !errors.Is(err, net.ErrClosed) && !(idle && timedOut):
 		c.readErr = err
 	}
 	return n, err
 }
 
+// headDeadline returns the read deadline for the rest of a head whose first bytes have
+// arrived at the end of the wait for them, until net/http sets its own. The mutex must be
+// held.
+func (c *clientConn) headDeadline() time.Time {
+	if now := time.Now(); !c.readDeadline.After(now) {
+		return now.Add(defaultHeaderTimeout)
+	}
+	return c.readDeadline
+}
+
 // Write implements io.Writer.
 func (c *clientConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.early = 0
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,6 +181,55 @@
 	return nil
 }
 
+// clientConns are the connections from clients that are open.
+type clientConns struct {
+	mu      sync.Mutex
+	open    map[*clientConn]bool
+	closing bool
+	none    chan struct{} // closed when all connections have been closed after closeWhenIdle
+}
+
+func (s *clientConns) add(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*clientConn]bool{}
+	}
+	s.open[c] = true
+	if s.closing {
+		c.closeWhenIdle()
+	}
+}
+
+func (s *clientConns) remove(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+	s.signal()
+}
+
+// closeWhenIdle closes each connection as soon as it is idle, also those that are added
+// later. The channel that it returns is closed when none is open.
+func (s *clientConns) closeWhenIdle() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing, s.none = true, make(chan struct{})
+	for c := range s.open {
+		c.closeWhenIdle()
+	}
+	none := s.none
+	s.signal()
+	return none
+}
+
+// signal closes the channel if no connection is left. The mutex must be held.
+func (s *clientConns) signal() {
+	if s.none != nil && len(s.open) == 0 {
+		close(s.none)
+		s.none = nil
+	}
+}
+
 // report calls onLoss unless the connection has ended before. The mutex must be held.
 func (c *clientConn) report(l loss, err error) {
 	if c.ended || c.onLoss == nil {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -121,10 +121,7 @@
 }
 
 // onState is a callback for http.Server.ConnState that releases closed connections.
-func (m *memoryLimiter) onState(conn net.Conn, state http.ConnState) {
-	if client, ok := conn.(*clientConn); ok {
-		client.onState(state)
-	}
+func (m *memoryLimiter) onState(_ net.Conn, state http.ConnState) {
 	if state == http.StateClosed || state == http.StateHijacked {
 		m.releaseConn()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -45,6 +45,8 @@
 	MemoryBytes      int64                 // bytes that the process may take; 0 means defaultMemoryBytes
 	Log              *telemetry.Log
 
+	conns clientConns
+
 	mu             sync.Mutex
 	limiter        *memoryLimiter
 	lastRefusedLog time.Time // when a refused connection was last logged
@@ -127,7 +129,10 @@
 		s.refuseConn(conn)
 		return
 	}
-	if !server.deliver(&clientConn{Conn: conn, onLoss: s.noteLoss}) {
+	client := &clientConn{Conn: conn, onLoss: s.noteLoss}
+	s.conns.add(client)
+	if !server.deliver(client) {
+		s.conns.remove(client)
 		s.limiter.releaseConn()
 	}
 }
@@ -150,7 +155,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
-		ConnState:         s.limiter.onState,
+		ConnState:         s.onState,
 		ConnContext:       clientConnContext,
 	}
 	s.limits, s.current = limits, server
@@ -161,28 +166,39 @@
 	return s.listener, limits
 }
 
+// onState is a callback for http.Server.ConnState.
+func (s *Server) onState(conn net.Conn, state http.ConnState) {
+	if client, ok := conn.(*clientConn); ok {
+		client.onState(state)
+		if state == http.StateClosed || state == http.StateHijacked {
+			s.conns.remove(client)
+		}
+	}
+	s.limiter.onState(conn, state)
+}
+
 // noteLoss logs and counts a request whose connection ended without a whole answer.
 func (s *Server) noteLoss(l loss, fields telemetry.Fields) {
 	s.Gateway.Metrics.LostAnswers.WithLabelValues(l.String()).Inc()
 	s.Log.Info("no whole answer", fields)
 }
 
+// shutdown waits until all connections have ended, and closes at the end of the context
+// what is left. http.Server.Shutdown isn't used, since it closes connections on which a
+// part of a request was read, and drops requests that it reads later.
 func (s *Server) shutdown(ctx context.Context) {
+	select {
+	case <-s.conns.closeWhenIdle():
+	case <-ctx.Done():
+		s.Log.Warn("cut what was left", telemetry.Fields{"open": s.Gateway.Open(), "error": ctx.Err().Error()})
+	}
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
-	var group errgroup.Group
 	for _, server := range servers {
-		group.Go(func() error {
-			if err := server.Shutdown(ctx); err != nil {
-				s.Log.Warn("cut what was left", telemetry.Fields{"open": s.Gateway.Open(), "error": err.Error()})
-				return server.Close()
-			}
-			return nil
-		})
-	}
-	if err := group.Wait(); err != nil {
-		s.Log.Warn("closing failed", telemetry.Fields{"error": err.Error()})
+		if err := server.Close(); err != nil {
+			s.Log.Warn("closing failed", telemetry.Fields{"error": err.Error()})
+		}
 	}
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -64,6 +64,7 @@
 		conn, err := net.Dial("tcp4", s.address.String())
 		if err == nil {
 			t.Cleanup(func() { conn.Close() })
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
 			return conn
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -110,6 +111,58 @@
 	g.Expect(s.runs.Load()).To(BeEquivalentTo(1), "what is refused must not run")
 }
 
+// A request that was arriving on an open connection as the instance ceased to accept new
+// ones was read, and its connection closed without an answer.
+func TestArrivingRequestsAreAnsweredDuringAStop(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: unknown.example\r\nX-Request-Id: r\r\n\r\n"
+	send := func(g *WithT, conn net.Conn, part string) {
+		_, err := io.WriteString(conn, part)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	for _, c := range []struct {
+		name       string
+		first      string // what is sent before the stop, and answered if it is a whole request
+		beforeStop string
+		afterStop  string // sent when new connections aren't accepted any more
+	}{
+		{"on a new connection", "", request[:9], request[9:]},
+		{"on a kept connection", request, request[:9], request[9:]},
+		{"with its first byte", request, request[:1], request[1:]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newStoppingServer(t, 3*time.Second)
+			conn := s.connect(t)
+			if c.first != "" {
+				send(g, conn, c.first)
+				expectStatus(g, conn, http.StatusServiceUnavailable)
+			}
+			send(g, conn, c.beforeStop)
+			time.Sleep(200 * time.Millisecond) // the server has read it
+			s.stop()
+			time.Sleep(1700 * time.Millisecond)
+			send(g, conn, c.afterStop)
+			expectStatus(g, conn, http.StatusServiceUnavailable)
+			g.Expect(<-s.done).To(Succeed())
+		})
+	}
+	t.Run("idle connections don't delay the end", func(t *testing.T) {
+		t.Parallel()
+		g := NewWithT(t)
+		s := newStoppingServer(t, time.Minute)
+		kept, unused := s.connect(t), s.connect(t)
+		send(g, kept, request)
+		expectStatus(g, kept, http.StatusServiceUnavailable)
+		s.stop()
+		for _, conn := range []net.Conn{kept, unused} {
+			_, err := conn.Read(make([]byte, 1))
+			g.Expect(err).To(Equal(io.EOF))
+		}
+		g.Expect(<-s.done).To(Succeed())
+	})
+}
+
 func TestRequestsDuringAStop(t *testing.T) {
 	for _, c := range []struct {
 		name         string
