exchange: a client may pause reading for as long as its request lasts

Cause: Listen set TCP_USER_TIMEOUT, which Linux also applies while the window of a remote side that answers all probes is closed.

Excluded: the write deadline (the requests had over 4 s left), and the SIGTERM, since the test has none.

Change: connections of clients have no user timeout.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -22,8 +22,8 @@
 	// idleMargin is subtracted from the idle timeout that a server states, since a
 	// request takes time to arrive.
 	idleMargin = 500 * time.Millisecond
-	// tcpUserTimeout is the time after which a connection fails if the remote side
-	// does not acknowledge the data that was sent.
+	// tcpUserTimeout is the time after which a connection of Dial fails if the remote side
+	// does not acknowledge the data that was sent, or does not open its window.
 	tcpUserTimeout = 2500 * time.Millisecond
 )
 
@@ -119,12 +119,15 @@
 	return 0
 }
 
-// Listen listens for TCP connections that fail soon after the remote side has
-// become unreachable.
+// Listen listens for TCP connections whose remote sides may read as slowly as they like.
+// Keep-alive probes end those that are idle and have become unreachable.
 func Listen(address netip.AddrPort) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3},
-		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 	}
-	return config.Listen(context.Background(), "tcp4", address.String())
+	l, err := config.Listen(context.Background(), "tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return patientListener{l}, nil
 }
