exchange: a server may pause while it reads a long request

Cause: TCP_USER_TIMEOUT, as for clients.

Excluded: requests up to 16 KiB. They fit into the window of a connection that has carried no longer one, and the user timeout is what shows that their server is behind a partition, so they keep it.

Change: before a longer request the timeout is removed from its connection. While its body is written, TCP_INFO tells a server out of reach, as for clients; the attempt then ends with "connection timed out". Without TCP_INFO, and once the system holds the rest of the body, the request's own deadline and handover end it.

Evidence: TestAServerThatPausesGetsTheWholeBody fails before, in both cases; go test -race -count=2 ./internal/exchange is green.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -76,7 +76,8 @@
 }
 
 // Dial opens a TCP connection that fails soon after the remote side has become
-// unreachable, by means of keep-alive probes and the TCP user timeout.
+// unreachable, by means of keep-alive probes and the TCP user timeout. A Pool removes the
+// user timeout for long requests.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
@@ -87,16 +88,30 @@
 			Count:    2,
 		},
 		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw)
+			return setUserTimeout(raw, tcpUserTimeout)
 		},
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
+// allowPauses removes the TCP user timeout, so that the server may pause while it reads a
+// long request. The timeout isn't set again: what the server hasn't read may still fill its
+// window during the next request.
+func (c *conn) allowPauses() {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = setUserTimeout(raw, 0) // fails if the connection is closed, and then the write does
+	}
+}
+
+// setUserTimeout sets the TCP user timeout of a socket; 0 means none.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -103,6 +103,13 @@
 	if err != nil {
 		stop()
 		c.Close()
+		select {
+		case writeErr := <-writeResult:
+			if errors.Is(writeErr, errOutOfReach) { // which is why the connection was closed
+				err = writeErr
+			}
+		default:
+		}
 		if ctx.Err() != nil {
 			err = errors.Wrap(context.Cause(ctx), "no answer")
 		}
--- a/internal/exchange/patient.go
+++ b/internal/exchange/patient.go
@@ -26,7 +26,7 @@
 )
 
 // errOutOfReach ends a write to a remote side that acknowledges nothing.
-var errOutOfReach = errors.New("remote side is out of reach")
+var errOutOfReach = errors.Wrap(syscall.ETIMEDOUT, "remote side is out of reach")
 
 // patientConn is a connection whose remote side may read as slowly as it likes: a write
 // lasts until its deadline. It ends sooner if the remote side is out of reach and the
@@ -55,7 +55,6 @@
 	written := 0
 	for {
 		if c.isOutOfReach(time.Now()) {
-			c.Close()
 			return written, errOutOfReach
 		}
 		end, err := c.beginSlice(start)
--- a/internal/exchange/patient_test.go
+++ b/internal/exchange/patient_test.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"syscall"
@@ -18,6 +20,17 @@
 // longPause is longer than the time after which a remote side may be out of reach.
 const longPause = 3500 * time.Millisecond
 
+func setSmallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var sockoptErr error
+	err := raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 16<<10)
+	})
+	if err != nil {
+		return err
+	}
+	return sockoptErr
+}
+
 // acceptOne returns both sides of a connection to Listen. The client has a small
 // receive buffer.
 func acceptOne(t *testing.T) (server, client net.Conn) {
@@ -26,15 +39,7 @@
 	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockoptErr error
-		if err := raw.Control(func(fd uintptr) {
-			sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 16<<10)
-		}); err != nil {
-			return err
-		}
-		return sockoptErr
-	}}
+	dialer := net.Dialer{Control: setSmallReceiveBuffer}
 	client, err = dialer.DialContext(t.Context(), "tcp4", l.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { client.Close() })
@@ -127,6 +132,86 @@
 	}
 }
 
+// startReader starts a server with a small receive buffer that reads the head of a request,
+// calls wait, and answers once it has read the body.
+func startReader(t *testing.T, bodyBytes int, wait func(net.Conn)) Server {
+	t.Helper()
+	g := NewWithT(t)
+	config := net.ListenConfig{Control: setSmallReceiveBuffer}
+	l, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var group errgroup.Group
+	group.Go(func() error {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		if _, err := conn.Read(make([]byte, 100)); err != nil {
+			return err
+		}
+		wait(conn)
+		if _, err := io.CopyN(io.Discard, conn, int64(bodyBytes)-100); err != nil {
+			return err
+		}
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err
+	})
+	t.Cleanup(func() {
+		l.Close()
+		if err := group.Wait(); err != nil {
+			t.Log("the server: ", err)
+		}
+	})
+	return Server{ID: "reader", Address: l.Addr().String()}
+}
+
+// sendLong sends a request with a long body.
+func sendLong(t *testing.T, s Server, bodyBytes int) error {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	pool := &Pool{}
+	defer pool.Close()
+	answer, err := pool.Do(ctx, s, &Request{Method: http.MethodPost, Target: "/", Host: "app.example", Body: make([]byte, bodyBytes)})
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
+
+// Requests were broken off when a backend server paused for over 2.5 s while it read their bodies.
+func TestAServerThatPausesGetsTheWholeBody(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		bytes int
+	}{
+		{"the system holds the rest", 200 << 10},
+		{"the rest waits in the process", 8 << 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := startReader(t, c.bytes, func(net.Conn) { time.Sleep(longPause) })
+			NewWithT(t).Expect(sendLong(t, s, c.bytes)).To(Succeed())
+		})
+	}
+}
+
+func TestALongBodyForAServerOutOfReachEnds(t *testing.T) {
+	const bytes = 8 << 20
+	g := NewWithT(t)
+	done := make(chan struct{})
+	s := startReader(t, bytes, func(conn net.Conn) {
+		takeOutOfReach(g, conn)
+		<-done
+		conn.Close()
+	})
+	start := time.Now()
+	err := sendLong(t, s, bytes)
+	close(done)
+	g.Expect(err).To(MatchError(errOutOfReach))
+	g.Expect(time.Since(start)).To(BeNumerically("<", 8*time.Second))
+}
+
 func TestAClosedWindowIsNotOutOfReach(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/exchange/write.go
+++ b/internal/exchange/write.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // writeRequest writes a request and returns a channel that receives the result of
@@ -38,9 +40,13 @@
 		done <- err
 		return done
 	}
+	c.allowPauses()
 	go func() {
-		_, err := (&net.Buffers{data, r.Body}).WriteTo(c.Conn)
+		_, err := (&net.Buffers{data, r.Body}).WriteTo(&patientConn{Conn: c.Conn})
 		done <- err
+		if errors.Is(err, errOutOfReach) {
+			c.Close()
+		}
 	}()
 	return done
 }
