gateway: what a client makes an attempt wait is no time of the server

Cause: the time in writes to the client was part of the run time that Places.Done gets. And a server that broke off an answer because it remained unread was counted as failed.

Change: an attempt's writer measures the writes and flushes. They are taken off the run time, and a failure after a write of 1 s or more doesn't count against the server. The place is held for as long as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,7 +67,8 @@
 	}
 	sent := time.Now()
 	result := dispatch.Canceled
-	defer func() { g.Places.Done(ticket, result, time.Since(sent)) }()
+	writer := newClientWriter(q.writer)
+	defer func() { g.Places.Done(ticket, writer.excuse(result), time.Since(sent)-writer.waited) }()
 	remaining := time.Until(q.deadline)
 	if remaining <= 0 {
 		return attemptResult{next: stepGiveUp, refusal: q.timeoutRefusal(errTimeout)}
@@ -85,7 +86,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{
-		request: q, server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, run: d.Place.Run, ticket: ticket, cancel: cancel, state: s,
+		request: q, writer: writer, control: http.NewResponseController(writer), server: exchange.Server{ID: d.Place.ID, Address: d.Place.Address}, run: d.Place.Run, ticket: ticket, cancel: cancel, state: s,
 		handover: q.newHandover(d.Place.ID),
 	}
 	res, dispatchResult := a.send(ctx, remaining)
@@ -143,6 +144,8 @@
 // that a Dialect writes into headers.
 type attempt struct {
 	*request
+	writer   *clientWriter
+	control  *http.ResponseController // of writer
 	server   exchange.Server
 	run      int64 // of the server
 	ticket   *dispatch.Ticket
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -38,6 +38,12 @@
 	t.Cleanup(backend.Close)
 	gw := newPromptGateway(twoPlaces(backend.Listener.Addr().String()))
 	setRoute(gw, catalog.Route{Kind: catalog.Unsafe, MaxAttempts: 1})
+	s.run(t, gw, grace)
+	return s
+}
+
+// run starts the server.
+func (s *stoppingServer) run(t *testing.T, gw *gateway.Gateway, grace time.Duration) {
 	var ports []netip.AddrPort
 	for range 2 {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -55,7 +61,6 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	s.stop = cancel
 	go func() { s.done <- server.Run(ctx) }()
-	return s
 }
 
 // connect opens a connection, if necessary after the server has begun to listen.
