gateway: a bound on the memory that slow readers hold

Change: such answers take a quarter of the process's memory at most, as bodies and connections do. An answer that would exceed it isn't read whole before it is passed on, but in pieces of 32 KiB as the client reads. No client is cut; such a request can't be repeated if its answer breaks off after that. The gauge answer_memory_bytes shows what is reserved.

Not counted: the event of each stream (256 KiB at most), and what the system holds.

Evidence: TestClientsThatPauseStayWithinTheMemoryForAnswers; with the check taken out it sees 1,179,648 bytes where 393,216 and 0 are allowed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,7 @@
 func (v View) Age() time.Duration { return boottime.Now() - v.ConfirmedAt }
 
 // Gateway serves client requests. All exported fields must be set, except Log, without
-// which nothing is logged, Retries and Suspects.
+// which nothing is logged, Retries, Suspects and MemoryBytes.
 type Gateway struct {
 	DataCentre string
 	Dialect    Dialect
@@ -48,10 +48,13 @@
 	Retries Retries
 	// Suspects finds the parts of prompts that crash backend servers.
 	Suspects Suspects
+	// MemoryBytes is what the process may take; 0 means defaultMemoryBytes.
+	MemoryBytes int64
 
-	stop   stop
-	open   atomic.Int64 // number of requests in progress
-	served atomic.Bool  // a client has sent a request that matched a route
+	answers answerMemory
+	stop    stop
+	open    atomic.Int64 // number of requests in progress
+	served  atomic.Bool  // a client has sent a request that matched a route
 }
 
 // Retries holds the retry budget of each service. The zero value is ready to use.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -17,9 +17,8 @@
 
 // maxBufferedBytes is the most that is buffered of an answer, or of one event of a
 // stream. A shorter answer is read completely before any of it is sent to the
-// client, so that the request can be retried if the answer breaks off. With 260
-// requests in progress, ten full backend servers of 26 slots, the buffers take
-// 65 MiB of the 284 MB that an instance has.
+// client, so that the request can be retried if the answer breaks off. answerMemory
+// bounds what such answers take together.
 const maxBufferedBytes = 256 << 10
 
 // failIncomplete ends an attempt whose answer is incomplete or missing.
@@ -60,7 +59,9 @@
 
 // relayAnswer passes an answer that is not a stream on to the client.
 func (a *attempt) relayAnswer(ctx context.Context, answer *exchange.Answer, meta AnswerMeta) (attemptResult, dispatch.Result) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	limit, release := a.reserveAnswer(answer)
+	defer release()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(limit)))
 	if err != nil {
 		return a.failIncomplete(ctx, err)
 	}
@@ -73,7 +74,7 @@
 	case a.state.headSent:
 		return attemptResult{next: stepRetry, mayBeReceived: true, reason: "stream was not resumed: status " + strconv.Itoa(answer.Status)}, dispatch.Failed
 	}
-	if !a.handover.keep() && len(body) == maxBufferedBytes { // the rest can't be read
+	if !a.handover.keep() && len(body) == limit { // the rest can't be read
 		return a.failIncomplete(ctx, context.Cause(ctx))
 	}
 	a.gateway.Progress.noteEvent(a.server.ID, time.Now())
@@ -82,7 +83,7 @@
 	for name, values := range endToEndHeader(answer.Header) {
 		h[name] = values
 	}
-	if len(body) < maxBufferedBytes {
+	if len(body) < limit {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	} else if answer.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
@@ -93,7 +94,7 @@
 		result = a.errorResult()
 	}
 	sent := int64(len(body))
-	if _, res.err = a.writer.Write(body); res.err == nil && len(body) == maxBufferedBytes {
+	if _, res.err = a.writer.Write(body); res.err == nil && len(body) == limit {
 		var rest int64
 		rest, result, res.err = a.relayRest(ctx, answer)
 		sent += rest
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -188,11 +188,12 @@
 		Progress: &gateway.Progress{OnStall: func(place string, stalled bool, idle time.Duration) {
 			i.log.Info("head", telemetry.Fields{"worker": place, "stalled": stalled, "idle_ms": idle.Milliseconds()})
 		}},
-		Log:        i.log,
-		Metrics:    i.metrics,
-		MaxAge:     settings.MaxRevocationDelay - revocationMargin,
-		StaleAfter: max(settings.MaxConfigDelay, maxReadWait+revocationMargin),
-		Retries:    gateway.Retries{New: i.retryBudget},
+		Log:         i.log,
+		Metrics:     i.metrics,
+		MaxAge:      settings.MaxRevocationDelay - revocationMargin,
+		StaleAfter:  max(settings.MaxConfigDelay, maxReadWait+revocationMargin),
+		Retries:     gateway.Retries{New: i.retryBudget},
+		MemoryBytes: settings.MemoryBytes,
 	}
 	i.keeper = &keeper.Keeper{
 		DataCentre: settings.DataCentre, LoadWindow: settings.LoadWindow, Log: i.log, Metrics: i.metrics,
@@ -210,6 +211,7 @@
 		Report: i.platform.Report, Order: i.platform.Order, OnWorkerEnded: i.state.MarkReplaced,
 	}
 	i.metrics.Gauge("open_requests", "Requests in hand.", func() float64 { return float64(i.gateway.Open()) })
+	i.metrics.Gauge("answer_memory_bytes", "Memory of answers that were read whole and are passed on.", func() float64 { return float64(i.gateway.AnswerBytes()) })
 	i.metrics.Gauge("waiting_requests", "Requests that wait for a place.", func() float64 { return float64(i.gateway.Places.Waiting()) })
 	i.metrics.Gauge("config_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return i.state.View().Age().Seconds()
