exchange: a test that the writing side of a client's connection can be ended

net/http does so before it closes a connection with unread bytes. A wrapper that hides CloseWrite would turn such ends into resets.

--- a/internal/exchange/patient_test.go
+++ b/internal/exchange/patient_test.go
@@ -275,3 +275,18 @@
 		g.Expect(time.Since(start)).To(Equal(5 * time.Second))
 	})
 }
+
+// net/http ends the writing side before it closes a connection with unread bytes, since a reset
+// would take the answer from the client.
+func TestTheWritingSideCanBeEnded(t *testing.T) {
+	g := NewWithT(t)
+	server, client := acceptOne(t)
+	_, err := io.WriteString(client, "unread")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.WriteString(server, "answer")
+	g.Expect(err).NotTo(HaveOccurred())
+	w, ok := server.(interface{ CloseWrite() error })
+	g.Expect(ok).To(BeTrue())
+	g.Expect(w.CloseWrite()).To(Succeed())
+	g.Expect(io.ReadAll(client)).To(BeEquivalentTo("answer"))
+}
