--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -22,8 +22,8 @@
 	// idleMargin is subtracted from the idle timeout that a server states, since a
 	// request takes time to arrive.
 	idleMargin = 500 * time.Millisecond
-	// tcpUserTimeout is the time after which a connection fails if the remote side
-	// does not acknowledge the data that was sent.
+	// tcpUserTimeout is the time after which a connection of Dial fails if the remote side
+	// does not acknowledge the data that was sent, or does not open its window.
 	tcpUserTimeout = 2500 * time.Millisecond
 )
 
@@ -76,7 +76,8 @@
 }
 
 // Dial opens a TCP connection that fails soon after the remote side has become
-// unreachable, by means of keep-alive probes and the TCP user timeout.
+// unreachable, by means of keep-alive probes and the TCP user timeout. A Pool removes the
+// user timeout for long requests.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
@@ -87,16 +88,30 @@
 			Count:    2,
 		},
 		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw)
+			return setUserTimeout(raw, tcpUserTimeout)
 		},
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
+// allowPauses removes the TCP user timeout, so that the server may pause while it reads a
+// long request. The timeout isn't set again: what the server hasn't read may still fill its
+// window during the next request.
+func (c *conn) allowPauses() {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = setUserTimeout(raw, 0) // fails if the connection is closed, and then the write does
+	}
+}
+
+// setUserTimeout sets the TCP user timeout of a socket; 0 means none.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -119,12 +134,15 @@
 	return 0
 }
 
-// Listen listens for TCP connections that fail soon after the remote side has
-// become unreachable.
+// Listen listens for TCP connections whose remote sides may read as slowly as they like.
+// Keep-alive probes end those that are idle and have become unreachable.
 func Listen(address netip.AddrPort) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3},
-		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 	}
-	return config.Listen(context.Background(), "tcp4", address.String())
+	l, err := config.Listen(context.Background(), "tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return patientListener{l}, nil
 }
