exchange: connections of clients give their socket to what reads without waiting

Change: the wrapper implements syscall.Conn; the test of losses uses such a listener.

Result: TestLossesAreReported failed with the wrapper alone for requestUnread.

--- a/internal/exchange/patient.go
+++ b/internal/exchange/patient.go
@@ -156,6 +156,15 @@
 	return errors.New("connection has no writing side to close")
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *patientConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("connection has no socket")
+	}
+	return sc.SyscallConn()
+}
+
 // patientListener accepts patient connections.
 type patientListener struct{ net.Listener }
 
--- a/internal/gateway/clientconn_test.go
+++ b/internal/gateway/clientconn_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/chicorystall/chicorystall/internal/exchange"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 )
 
@@ -125,7 +127,7 @@
 	t.Run("a request on an idle connection that is closed unread", func(t *testing.T) {
 		g := NewWithT(t)
 		record := &lossRecord{}
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := exchange.Listen(netip.MustParseAddrPort("127.0.0.1:0")) // whose connections are wrapped, too
 		g.Expect(err).NotTo(HaveOccurred())
 		defer l.Close()
 		client, err := net.Dial("tcp4", l.Addr().String())
