gateway: what the review of the stop and of the write deadline found

Cause, each shown by a test of the reviewer on: a request in progress that had been read together with the one before it was cut at a stop, and a part of one answered 400, since the connection counted as idle; answers during a stop didn't say that their connection would be closed (older for requests that came before the stop; net/http's Shutdown used to add it after 2.5 s); a byte on a kept connection delayed a stop by the idle timeout; connections that were accepted at the last moment were cut; clients that read slowly were held a second past the timeout of their route.

Change: net/http's second read deadline after an answer tells that a head has begun. A head has the header timeout while a connection is to be closed. "Connection: close" is decided as the head is written. A stop waits for accept before it closes connections. An answer has 0.2 s after its deadline, a refusal 0.7 s. "answer not sent" leaves out clients that left, and counts what http.Server.Close cuts. The log is written without the connection's mutex.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -19,7 +19,7 @@
 //go:generate go tool stringer -type=loss -linecomment -output=loss_string.go
 
 // loss is how a request ended without a whole answer on its connection, unless its
-// handler ended it so.
+// handler ended it so or its client left.
 type loss int
 
 const (
@@ -28,9 +28,15 @@
 	requestUnread              // request not read
 )
 
-// clientConn is a connection from a client. It notes what handlers don't see: net/http
-// sends the last part of an answer after its handler has returned, and may close a
-// connection on which it has read a request without calling the handler.
+// clientConn is a connection from a client, as net/http uses it. It can be closed as soon
+// as it is idle, which net/http itself takes a connection to be until it has parsed a
+// whole head. And it notes what handlers don't see: net/http sends the last part of an
+// answer after its handler has returned, and may close a connection on which it has read
+// a request without calling the handler.
+//
+// For each request, net/http sets a read deadline for the wait, reads, sets one for the
+// head, and calls the handler, while it reads on in the background. After the answer it
+// calls onState with StateIdle.
 type clientConn struct {
 	net.Conn
 	onLoss func(loss, telemetry.Fields) // called at most once; may be nil
@@ -42,8 +48,9 @@
 	sent         int64     // bytes written since the last answer
 	readErr      error     // after which the connection ends for another reason than its server
 	readDeadline time.Time // set by net/http
+	deadlinesSet int       // number of read deadlines that net/http has set since the last answer
 	closing      bool      // closed when it is idle
-	ended        bool      // closed or reported
+	ended        bool      // closed, reported, or ended by a handler
 }
 
 type clientConnKey struct{}
@@ -67,6 +74,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.request = request
+	c.applyReadDeadline()
+}
+
+// cut notes that the handler ends the connection on purpose. It does nothing for nil.
+func (c *clientConn) cut() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
 }
 
 // onState is called when the state of the connection changes.
@@ -76,8 +94,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request, c.received, c.sent, c.readErr = "", c.early, 0, nil
-	c.endReads()
+	c.request, c.received, c.sent, c.readErr, c.deadlinesSet = "", c.early, 0, nil, 0
+	c.applyReadDeadline()
 }
 
 // closeWhenIdle makes net/http close the connection as soon as no request is in progress
@@ -86,16 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	c.endReads()
-}
-
-// endReads ends the wait for a request if the connection is idle and to be closed. The
-// mutex must be held.
-func (c *clientConn) endReads() {
-	if c.closing && c.received == 0 {
-		// It fails only for a connection that is closed already.
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	}
+	c.applyReadDeadline()
 }
 
 // SetReadDeadline implements net.Conn.
@@ -103,12 +112,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.closing && c.received == 0 {
+	c.deadlinesSet++
+	if c.deadlinesSet == 2 && c.received == 0 {
+		c.received = 1 // at least, as the head has begun; it was read together with the request before
+	}
+	if c.closing {
+		c.applyReadDeadline()
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// applyReadDeadline replaces the read deadline of a connection that is to be closed: the
+// wait for a request ends at once, and a head must arrive within a bounded time. The
+// mutex must be held.
+func (c *clientConn) applyReadDeadline() {
+	if !c.closing {
+		return
+	}
+	deadline := c.readDeadline
+	switch {
+	case c.received == 0:
+		deadline = time.Unix(1, 0)
+	case c.request == "":
+		deadline = c.headDeadline()
+	}
+	// It fails only for a connection that is closed already.
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// headDeadline returns the read deadline for a head whose first bytes have arrived, if it
+// is not to be that of the wait for it. The mutex must be held.
+func (c *clientConn) headDeadline() time.Time {
+	now := time.Now()
+	if limit := now.Add(defaultHeaderTimeout); !c.readDeadline.After(now) || limit.Before(c.readDeadline) {
+		return limit
+	}
+	return c.readDeadline
+}
+
 // Read implements io.Reader. At the end of the wait for a request it reads what has
 // arrived at the last moment.
 func (c *clientConn) Read(p []byte) (int, error) {
@@ -132,16 +174,6 @@
 	return n, err
 }
 
-// headDeadline returns the read deadline for the rest of a head whose first bytes have
-// arrived at the end of the wait for them, until net/http sets its own. The mutex must be
-// held.
-func (c *clientConn) headDeadline() time.Time {
-	if now := time.Now(); !c.readDeadline.After(now) {
-		return now.Add(defaultHeaderTimeout)
-	}
-	return c.readDeadline
-}
-
 // Write implements io.Writer.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -149,9 +181,10 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.sent += int64(n)
-	if err != nil {
+	c.mu.Unlock()
+	// Other errors are the client's: it has left.
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 		c.report(answerNotSent, err)
 	}
 	return n, err
@@ -160,15 +193,19 @@
 // Close implements io.Closer.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
+	inHandler, clientEnded, received := c.request != "" || c.sent > 0, c.readErr != nil, c.received
+	c.mu.Unlock()
 	switch {
-	case c.request != "" || c.sent > 0 || c.readErr != nil:
-	case c.received > 0:
+	case inHandler: // a write that fails afterwards tells
+	case clientEnded:
+		c.cut()
+	case received > 0:
 		c.report(requestDropped, nil)
 	case receiveNow(c.Conn, make([]byte, 1), peek) > 0:
 		c.report(requestUnread, nil)
+	default:
+		c.cut()
 	}
-	c.ended = true
-	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -181,65 +218,19 @@
 	return nil
 }
 
-// clientConns are the connections from clients that are open.
-type clientConns struct {
-	mu      sync.Mutex
-	open    map[*clientConn]bool
-	closing bool
-	none    chan struct{} // closed when all connections have been closed after closeWhenIdle
-}
-
-func (s *clientConns) add(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.open == nil {
-		s.open = map[*clientConn]bool{}
-	}
-	s.open[c] = true
-	if s.closing {
-		c.closeWhenIdle()
-	}
-}
-
-func (s *clientConns) remove(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, c)
-	s.signal()
-}
-
-// closeWhenIdle closes each connection as soon as it is idle, also those that are added
-// later. The channel that it returns is closed when none is open.
-func (s *clientConns) closeWhenIdle() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing, s.none = true, make(chan struct{})
-	for c := range s.open {
-		c.closeWhenIdle()
-	}
-	none := s.none
-	s.signal()
-	return none
-}
-
-// signal closes the channel if no connection is left. The mutex must be held.
-func (s *clientConns) signal() {
-	if s.none != nil && len(s.open) == 0 {
-		close(s.none)
-		s.none = nil
-	}
-}
-
-// report calls onLoss unless the connection has ended before. The mutex must be held.
+// report calls onLoss unless the end of the connection is known.
 func (c *clientConn) report(l loss, err error) {
-	if c.ended || c.onLoss == nil {
-		return
-	}
+	c.mu.Lock()
+	known := c.ended
 	c.ended = true
 	fields := telemetry.Fields{"cause": l.String(), "received": c.received, "sent": c.sent}
 	if c.request != "" {
 		fields["request"] = c.request
 	}
+	c.mu.Unlock()
+	if known || c.onLoss == nil {
+		return
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,9 +92,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	if g.stop.begun() {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{
 		gateway:  g,
 		writer:   w,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -271,12 +271,10 @@
 	cause := context.Cause(ctx)
 	switch {
 	case q.incoming.Context().Err() != nil:
-		q.recordEnd("client left", errClientLeft)
-		panic(http.ErrAbortHandler)
+		q.cut("client left", errClientLeft)
 	case s.headSent:
 		// Aborting the connection shows the client that the answer is incomplete.
-		q.recordEnd("cut", errors.Newf("stream broke off: %s", refused.reason))
-		panic(http.ErrAbortHandler)
+		q.cut("cut", errors.Newf("stream broke off: %s", refused.reason))
 	case (errors.Is(cause, errTimeout) || errors.Is(cause, errStopping)) && q.mayHaveRun:
 		refused.status, refused.retryAfter = http.StatusGatewayTimeout, 0
 	}
@@ -298,7 +296,7 @@
 		"waiting": q.lastDecision.Waiting, "free": q.lastDecision.FreeSlots, "places": q.lastDecision.Places,
 	})
 	q.gateway.Metrics.Refusals.WithLabelValues(refused.reason).Inc()
-	q.setWriteDeadline()
+	q.prepareAnswer(sendTime + bodyDrainTime) // net/http may delay it for the rest of a body
 	q.writer.WriteHeader(refused.status)
 	_, err := io.WriteString(q.writer, text)
 	q.recordEnd("refused", err)
@@ -306,12 +304,18 @@
 
 func (q *request) finish(res attemptResult) {
 	if res.err != nil {
-		q.recordEnd("cut", res.err)
-		panic(http.ErrAbortHandler)
+		q.cut("cut", res.err)
 	}
 	q.recordEnd(res.reason, nil)
 }
 
+// cut ends the request by closing the client's connection. It doesn't return.
+func (q *request) cut(outcome string, err error) {
+	q.recordEnd(outcome, err)
+	clientConnOf(q.incoming).cut()
+	panic(http.ErrAbortHandler)
+}
+
 // recordEnd logs and counts the outcome of the request.
 func (q *request) recordEnd(outcome string, err error) {
 	fields := telemetry.Fields{"outcome": outcome, "ms": time.Since(q.arrived).Milliseconds(), "sends": q.sends, "contacts": q.contacts}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,7 +73,11 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(ready.Serve(readiness)) })
-	group.Go(func() error { return s.accept(requests, &group) })
+	accepted := make(chan struct{})
+	group.Go(func() error {
+		defer close(accepted)
+		return s.accept(requests, &group)
+	})
 	<-ctx.Done()
 	stopStart := time.Now()
 	acceptUntil, end := stopStart.Add(min(acceptAfterStop, s.GraceTime/2)), stopStart.Add(s.GraceTime-shutdownMargin)
@@ -81,6 +85,7 @@
 	s.Log.Info("stopping", telemetry.Fields{"open": s.Gateway.Open()})
 	time.Sleep(time.Until(acceptUntil))
 	requests.Close()
+	<-accepted
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	s.shutdown(shutdownCtx)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -39,6 +39,14 @@
 	s.takeAll, s.end = takeAll, end
 }
 
+// closeAfterAnswer makes net/http close the connection after an answer whose head hasn't
+// been sent yet, if a stop has begun.
+func (g *Gateway) closeAfterAnswer(w http.ResponseWriter) {
+	if g.stop.begun() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (s *stop) begun() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -133,6 +133,7 @@
 		{"on a new connection", "", request[:9], request[9:]},
 		{"on a kept connection", request, request[:9], request[9:]},
 		{"with its first byte", request, request[:1], request[1:]},
+		{"with the request before it", request + request[:20], "", request[20:]},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -156,11 +157,14 @@
 		t.Parallel()
 		g := NewWithT(t)
 		s := newStoppingServer(t, time.Minute)
-		kept, unused := s.connect(t), s.connect(t)
-		send(g, kept, request)
-		expectStatus(g, kept, http.StatusServiceUnavailable)
+		kept, unused, begun := s.connect(t), s.connect(t), s.connect(t)
+		for _, conn := range []net.Conn{kept, begun} {
+			send(g, conn, request)
+			expectStatus(g, conn, http.StatusServiceUnavailable)
+		}
+		send(g, begun, request[:1])
 		s.stop()
-		for _, conn := range []net.Conn{kept, unused} {
+		for _, conn := range []net.Conn{kept, unused, begun} {
 			_, err := conn.Read(make([]byte, 1))
 			g.Expect(err).To(Equal(io.EOF))
 		}
@@ -168,6 +172,35 @@
 	})
 }
 
+// A request in progress was cut if it had been read together with the one before it, and
+// an answer during a stop didn't say that its connection would be closed.
+func TestRequestInProgressIsAnsweredDuringAStop(t *testing.T) {
+	for _, c := range []struct{ name, before string }{
+		{"alone", ""},
+		{"read with the request before it", "GET / HTTP/1.1\r\nHost: unknown.example\r\nX-Request-Id: first\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newStoppingServer(t, 2*time.Second)
+			conn := s.connect(t)
+			_, err := io.WriteString(conn, c.before+"POST / HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: r\r\nContent-Length: 1\r\n\r\nx")
+			g.Expect(err).NotTo(HaveOccurred())
+			if c.before != "" {
+				expectStatus(g, conn, http.StatusServiceUnavailable)
+			}
+			g.Eventually(s.runs.Load).Should(BeEquivalentTo(1))
+			s.stop()
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred(), "the connection ended without an answer")
+			answer.Body.Close()
+			g.Expect(answer.StatusCode).To(Equal(http.StatusGatewayTimeout))
+			g.Expect(answer.Close).To(BeTrue())
+			g.Expect(<-s.done).To(Succeed())
+		})
+	}
+}
+
 func TestRequestsDuringAStop(t *testing.T) {
 	for _, c := range []struct {
 		name         string
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -125,7 +125,7 @@
 
 // beginStream sends the head of the answer.
 func (a *attempt) beginStream(answer *exchange.Answer) {
-	a.setWriteDeadline()
+	a.prepareAnswer(sendTime)
 	h := a.writer.Header()
 	for name, values := range endToEndHeader(answer.Header) {
 		h[name] = values
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -78,7 +78,7 @@
 		return a.failIncomplete(ctx, context.Cause(ctx))
 	}
 	a.gateway.Progress.noteEvent(a.server.ID, time.Now())
-	a.setWriteDeadline()
+	a.prepareAnswer(sendTime)
 	h := a.writer.Header()
 	for name, values := range endToEndHeader(answer.Header) {
 		h[name] = values
@@ -151,18 +151,20 @@
 }
 
 // sendTime is how long it may take to send an answer that exists at the deadline of its
-// request. It is longer than bodyDrainTime, by which net/http may delay an answer.
-const sendTime = time.Second
+// request.
+const sendTime = 200 * time.Millisecond
 
-// setWriteDeadline limits the time to send an answer, also a refusal. It is not the
-// deadline of the request, which limits the time to get the answer: what exists then is
-// still sent.
-func (q *request) setWriteDeadline() {
+// prepareAnswer is called before the head of an answer is written, also of a refusal. It
+// limits the time to send the answer: until the deadline of the request and the extra
+// time, or from now if that is later. The deadline itself limits the time to get the
+// answer, and what exists then is still sent.
+func (q *request) prepareAnswer(extra time.Duration) {
+	q.gateway.closeAfterAnswer(q.writer)
 	deadline := q.deadline
 	if now := time.Now(); deadline.Before(now) {
 		deadline = now
 	}
-	if err := q.control.SetWriteDeadline(deadline.Add(sendTime)); err != nil {
+	if err := q.control.SetWriteDeadline(deadline.Add(extra)); err != nil {
 		q.trace.Add("write deadline was not set", telemetry.Fields{"error": err.Error()})
 	}
 }
