exchange: an unused connection stays as old as it was

A request whose context has ended by the time it has a connection gives it back as if it had just carried an answer. An unsafe request may then go out on a connection that its server is about to close, and be cut.

Change: such a connection keeps the time since which it is idle.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -92,7 +92,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	if err := ctx.Err(); err != nil {
-		p.putIdle(server, c)
+		p.keepIdle(server, c) // idle since it was before
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	reused := c.requestCount > 0
@@ -153,7 +153,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(netConn), nil
+	c := newConn(netConn)
+	c.idleSince = time.Now()
+	return c, nil
 }
 
 func (p *Pool) takeIdle(server Server) *conn {
@@ -168,12 +170,17 @@
 	return c
 }
 
+// putIdle keeps a connection whose answer was read.
 func (p *Pool) putIdle(server Server, c *conn) {
+	c.idleSince = time.Now()
+	p.keepIdle(server, c)
+}
+
+func (p *Pool) keepIdle(server Server, c *conn) {
 	limit := p.MaxIdleConns
 	if limit <= 0 {
 		limit = DefaultMaxIdleConns
 	}
-	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[server]) >= limit {
