internal/fake/groupworker: workers that are silent for a while, and a record of arrivals

Missing: stand-ins for sound workers that send nothing for a second and go on, and what each worker saw of each request, which the series of disturbances on real processes needs.

Change: Fleet.Silence, Fleet.OnArrival with the outcome of each request, Fleet.Slots and Times.Answer.

--- a/internal/fake/groupworker/fleet.go
+++ b/internal/fake/groupworker/fleet.go
@@ -1,6 +1,7 @@
 package groupworker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
@@ -17,9 +18,9 @@
 // model must be loaded, is staged, or is that of the worker's last group. Form is the
 // time from the order to open until the group is open. Stall is how long a stream
 // waits for an incomplete group before it is aborted. Event is the time between two
-// events of a stream.
+// events of a stream, and Answer that until a plain worker answers.
 type Times struct {
-	Load, Warm, Hot, Form, Stall, Event time.Duration
+	Load, Warm, Hot, Form, Stall, Event, Answer time.Duration
 }
 
 // Fleet is a set of workers. Use NewFleet.
@@ -30,6 +31,11 @@
 	// EndlessBytes is the number of bytes after which an endless answer stops; 0 means
 	// that it never stops.
 	EndlessBytes int64
+	// Slots is the number of requests that a worker states to run at once; 0 means 4.
+	Slots int
+	// OnArrival, if not nil, is called for each request that reaches a worker. The function
+	// that it returns is called when the request has ended there.
+	OnArrival func(Arrival) func(Outcome)
 
 	mu               sync.Mutex
 	workers          map[string]*Worker
@@ -39,6 +45,22 @@
 	closed           chan struct{}
 }
 
+// Arrival is a request that reached a worker.
+type Arrival struct {
+	Worker, Service, Request string
+	Ran                      bool // the worker did not reject it
+}
+
+// Outcome is how a request ended at a worker.
+type Outcome int
+
+// The outcomes.
+const (
+	BrokenOff Outcome = iota // by the worker
+	Canceled                 // by the sender
+	Completed
+)
+
 // NewFleet returns a fleet without workers, which writes their entries to the store.
 func NewFleet(store *metastore.Store, times Times, sizes map[string]int) *Fleet {
 	return &Fleet{Store: store, Times: times, Sizes: sizes, workers: map[string]*Worker{}, runs: map[string]int{}, closed: make(chan struct{})}
@@ -60,6 +82,7 @@
 	fault       Fault
 	endlessPart endless.Part // used with the faults Endless and EndlessControlAnswer
 	served      int          // requests that ran at this worker
+	silentUntil time.Time
 }
 
 // Fault is a way in which a worker mishandles requests.
@@ -134,6 +157,13 @@
 	f.workers[id].fault = fault
 }
 
+// Silence makes a worker send nothing for a while, and then go on.
+func (f *Fleet) Silence(id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].silentUntil = time.Now().Add(d)
+}
+
 // SetEndlessFault makes a worker send answers of which the part never ends. The fault
 // is Endless or EndlessControlAnswer.
 func (f *Fleet) SetEndlessFault(id string, fault Fault, part endless.Part) {
@@ -236,7 +266,7 @@
 	w.entrySeq++
 	entry := map[string]any{
 		"service": w.Service, "address": w.server.Listener.Addr().String(), "zone": w.Zone, "version": "v1",
-		"batch-slots": 4, "state": "ready", "cold-ms": 0, "seq": w.entrySeq, "born": w.startTimeMs,
+		"batch-slots": cmp.Or(f.Slots, 4), "state": "ready", "cold-ms": 0, "seq": w.entrySeq, "born": w.startTimeMs,
 	}
 	if w.Domain != "" {
 		f.addGroupFields(w, entry)
--- a/internal/fake/groupworker/worker.go
+++ b/internal/fake/groupworker/worker.go
@@ -21,6 +21,9 @@
 		w.holdUntilCanceled(r)
 		return
 	}
+	if path := r.URL.Path; path == "/report" || path == "/order" || path == "/health" {
+		w.awaitSilence(r)
+	}
 	if path := r.URL.Path; w.hasFault(EndlessControlAnswer) && (path == "/report" || path == "/order") {
 		w.answerEndless(rw, "")
 		return
@@ -43,6 +46,23 @@
 	return w.dead
 }
 
+// awaitSilence waits until the worker is not silent, or the sender cancels the request.
+func (w *Worker) awaitSilence(r *http.Request) {
+	for {
+		w.fleet.mu.Lock()
+		d := time.Until(w.silentUntil)
+		w.fleet.mu.Unlock()
+		if d <= 0 {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(d):
+		}
+	}
+}
+
 func (w *Worker) hasFault(fault Fault) bool {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
@@ -198,10 +218,22 @@
 	id := r.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
 	status, fault := w.admitRequest(id, r.Header.Get("X-Expect-Instance"))
+	outcome := BrokenOff
+	if observe := w.fleet.OnArrival; observe != nil {
+		ended := observe(Arrival{Worker: w.ID, Service: w.Service, Request: id, Ran: status == http.StatusOK})
+		defer func() {
+			if outcome != Completed && r.Context().Err() != nil {
+				outcome = Canceled
+			}
+			ended(outcome)
+		}()
+	}
+	w.awaitSilence(r)
 	if status != http.StatusOK {
 		h.Set("X-Not-Run", "1")
 		h.Set("X-Instance-Id", w.ID)
 		rw.WriteHeader(status)
+		outcome = Completed
 		return
 	}
 	switch fault {
@@ -220,13 +252,18 @@
 		if fault == Cut {
 			h.Set("Content-Length", strconv.Itoa(2*len(body)))
 		}
+		time.Sleep(w.fleet.Times.Answer)
+		w.awaitSilence(r)
 		io.WriteString(rw, body)
 		if fault == Cut {
 			panic(http.ErrAbortHandler)
 		}
+		outcome = Completed
 		return
 	}
-	w.stream(rw, r, fault)
+	if w.stream(rw, r, fault) {
+		outcome = Completed
+	}
 }
 
 // admitRequest decides whether a request runs, and returns the HTTP status and the
@@ -255,8 +292,8 @@
 }
 
 // stream writes numbered events, starting after the Last-Event-Id of the request. It
-// stalls while a member of the group is missing.
-func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, fault Fault) {
+// stalls while a member of the group is missing. It reports whether all were written.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, fault Fault) bool {
 	f := w.fleet
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.WriteHeader(http.StatusOK)
@@ -268,9 +305,10 @@
 	for n := from + 1; n <= eventsPerAnswer; n++ {
 		select {
 		case <-r.Context().Done():
-			return
+			return false
 		case <-time.After(f.Times.Event):
 		}
+		w.awaitSilence(r)
 		if !w.waitUntilComplete(r, f.Times.Stall) {
 			panic(http.ErrAbortHandler)
 		}
@@ -280,9 +318,10 @@
 		}
 		fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", n, n)
 		if control.Flush() != nil {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // waitUntilComplete waits until the group is complete. It returns false if that takes
