retry, instance: a process that restarts earns less in its first window

Reproduced on nine real processes: steady streams, then all groups fail, and all instances restart within a second.

Cause: what the requests of the last window earn may be spent at once, 0.7 of retry-ratio for each. A restarted process has forgotten what its predecessor spent and earns as much again in the same window, up to 1.4 in all. The fixed part of the allowance is guarded by InitialRetries; the earned part, which came later, wasn't, and the test of restarts sends no requests.

Excluded: repeats that aren't drawn from the budget (the exchange never sends twice, and every repeat but one of an unsent request is drawn); retries that are sent long after they were taken (0.32 s at most in 5,766 logged ones); shares that add up to more than one (restarted processes count 8 or 9).

Change: Budget.StartRatio replaces Ratio for one window after the first use. An instance sets it to 0.3 of retry-ratio, so that predecessor and successor make the whole.

Conclusion: this cause is closed for up to two restarts of all instances in a window.

--- a/internal/instance/late_test.go
+++ b/internal/instance/late_test.go
@@ -152,6 +152,55 @@
 	}
 }
 
+// A process that restarts has forgotten the retries that its requests earned and that it
+// spent. What its new requests earn must not come on top of them.
+func TestEarnedRetriesKeepTheAllowanceAcrossRestarts(t *testing.T) {
+	const (
+		instances, slack, ratio, window = 9, 134, 0.2, 10 * time.Second
+		interval                        = 50 * time.Millisecond // between two requests of an instance
+	)
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name     string
+		restarts []time.Duration // of each instance, after requests begin to fail
+	}{
+		{"no restart", nil}, {"one restart", []time.Duration{window / 20}}, {"two restarts", []time.Duration{window / 20, window / 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			requests, taken := 0, 0
+			for range instances {
+				newBudget := func() *retry.Budget {
+					i := newInstance(t.Context(), Config{
+						Settings: Settings{Name: "entry-1", DataCentre: "a", RetryRatio: ratio, RetrySlack: slack, RetryWindow: window},
+						Metrics:  telemetry.NewMetrics(),
+					})
+					for n := range instances - 1 {
+						i.exchanger.Add(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}))
+					}
+					i.instancesKnownAt = time.Now().Add(-2 * discoveryTime)
+					return i.retryBudget()
+				}
+				budget := newBudget()
+				for at := -2 * window; at < 0; at += interval {
+					budget.RecordFirst(start.Add(at))
+				}
+				for at := time.Duration(0); at < window; at += interval {
+					if slices.Contains(test.restarts, at) {
+						budget = newBudget()
+					}
+					now := start.Add(at)
+					requests++
+					budget.RecordFirst(now)
+					for budget.Take(now) {
+						taken++
+					}
+				}
+			}
+			NewWithT(t).Expect(float64(taken)).To(BeNumerically("<=", ratio*float64(requests)+slack))
+		})
+	}
+}
+
 // The rate of model loads is limited once clients have sent requests. An instance
 // that restarts did not receive earlier requests, so open groups must count instead.
 func TestAnInstanceThatFindsOpenGroupsAssumesClientRequests(t *testing.T) {
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -227,13 +227,14 @@
 // retryBudget returns this instance's share of the retry budget of a service. A
 // process that restarts doesn't know what it spent in the current window, and
 // instances that are added become known to the others with a delay.
-// InitialRetries is small enough for the deployment to stay within its allowance in
-// both cases.
+// InitialRetries and StartRatio are small enough for the deployment to stay within its
+// allowance in both cases.
 func (i *instance) retryBudget() *retry.Budget {
 	s := i.settings
 	slack := retryShare * s.RetrySlack
 	return &retry.Budget{
 		Ratio:          retryShare * s.RetryRatio,
+		StartRatio:     (1 - retryShare) * s.RetryRatio,
 		Burst:          max(slack/2, 1),
 		InitialRetries: slack / 5,
 		MinPerSecond:   slack / 2 / s.RetryWindow.Seconds(),
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -30,6 +30,9 @@
 	// Window is the time over which the retries that first attempts allow are counted. 0
 	// means that first attempts fill the bucket.
 	Window time.Duration
+	// StartRatio replaces Ratio for one Window after the first use. A process that restarts
+	// doesn't know what its predecessor spent, and both count in one window. 0 means Ratio.
+	StartRatio float64
 	// Share returns the fraction, from 0 to 1, of MinPerSecond, Burst and the initial
 	// retries that belongs to this budget now. It is called at each use. While it is
 	// 0, only first attempts add retries. A share above all earlier ones adds the
@@ -39,6 +42,7 @@
 
 	mu           sync.Mutex
 	tokens       float64
+	firstUse     time.Time
 	lastRefill   time.Time
 	share        float64 // result of the last call of Share
 	initialShare float64 // fraction of the initial retries that was added
@@ -79,7 +83,11 @@
 	if b.Window <= 0 {
 		return false
 	}
-	allowed := orDefault(b.Ratio, DefaultRatio) * float64(b.firsts.atLeast(now, b.Window))
+	ratio := orDefault(b.Ratio, DefaultRatio)
+	if now.Sub(b.firstUse) <= b.Window {
+		ratio = orDefault(b.StartRatio, ratio)
+	}
+	allowed := ratio * float64(b.firsts.atLeast(now, b.Window))
 	return float64(b.earned.atMost(now, b.Window)+1) <= allowed
 }
 
@@ -114,7 +122,7 @@
 		b.share = b.Share()
 	}
 	if b.lastRefill.IsZero() {
-		b.lastRefill = now
+		b.firstUse, b.lastRefill = now, now
 	}
 	b.addTokens(max(b.share-b.initialShare, 0) * b.InitialRetries)
 	b.initialShare = max(b.initialShare, b.share)
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -63,6 +63,36 @@
 	})
 }
 
+// A process that restarts takes less of what its traffic earns, until what its predecessor
+// spent is a window ago.
+func TestWindowBudgetEarnsLessAfterAStart(t *testing.T) {
+	const window, perSecond = 10 * time.Second, 10
+	for _, test := range []struct {
+		name       string
+		startRatio float64
+		age        time.Duration
+		want       int
+	}{
+		{"no other ratio at the start", 0, window / 2, 10},
+		{"in the first window", 0.06, window / 2, 3},
+		{"at the end of the first window", 0.06, window, 6},
+		{"after the first window", 0.06, window + window/10, 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := &Budget{Ratio: 0.2, StartRatio: test.startRatio, MinPerSecond: -1, Burst: -1, Window: window}
+			for at := time.Duration(0); at < test.age; at += time.Second / perSecond {
+				b.RecordFirst(start.Add(at))
+			}
+			taken := 0
+			for b.Take(start.Add(test.age)) {
+				taken++
+			}
+			NewWithT(t).Expect(taken).To(BeNumerically("~", test.want, 1))
+			NewWithT(t).Expect(taken).To(BeNumerically("<=", test.want))
+		})
+	}
+}
+
 func countSince(times []time.Time, since time.Time) int {
 	n := 0
 	for _, at := range times {
