--- a/pkg/formation/formation.go
+++ b/pkg/formation/formation.go
@@ -36,10 +36,12 @@
 // Worker is what the keeper knows about a worker of its data centre.
 type Worker struct {
 	roster.Server
-	Lost        bool      // counts as lost, since it does not answer
-	OrdersKnown bool      // its order count is known for this run, so orders can be sent to it
-	Cold        bool      // is in its cold start
-	FirstSeen   time.Time // when this run of the worker was first seen
+	Lost        bool // counts as lost, since it does not answer
+	OrdersKnown bool // its order count is known for this run, so orders can be sent to it
+	Cold        bool // is in its cold start
+	// OrderedEpoch is the highest epoch of the keeper's orders to join, answered or not.
+	OrderedEpoch int64
+	FirstSeen    time.Time // when this run of the worker was first seen
 }
 
 // FormingGroup is a group that the keeper has started to form and that is not open yet.
@@ -75,6 +77,9 @@
 	// Epoch is the highest epoch of any order so far, answered or not. An order
 	// that is carried out late must have a lower epoch than the orders after it.
 	Epoch int64
+	// OpenFrom is the lowest epoch of groups that may be opened. Orders with higher epochs
+	// that another keeper has sent to members of earlier groups may still be carried out.
+	OpenFrom int64
 	// TakenOut means that the data centre is taken out of service. No new groups are
 	// formed; existing groups stay.
 	TakenOut bool
--- a/pkg/formation/settle.go
+++ b/pkg/formation/settle.go
@@ -50,6 +50,10 @@
 		d.giveUp(f, fmt.Sprintf("member %s did not join in time", notJoined[0].ID))
 		return
 	}
+	if !d.mayOpen(f.Members, f.Epoch) {
+		d.giveUp(f, lateOrders)
+		return
+	}
 	if d.canReplaceLoading(f) {
 		d.giveUp(f, "free workers already have the weights")
 		return
@@ -66,6 +70,14 @@
 	d.groupCounts[f.Model]++
 }
 
+// lateOrders is the reason why a group is not opened.
+const lateOrders = "orders with higher epochs may be carried out late"
+
+// mayOpen reports whether no order with a higher epoch can take a member out of a group.
+func (d *decider) mayOpen(members []string, epoch int64) bool {
+	return epoch >= d.OpenFrom && !slices.ContainsFunc(members, func(id string) bool { return d.byID[id].OrderedEpoch > epoch })
+}
+
 // canReplaceLoading reports whether free workers of the domain that have the
 // weights could replace all members that are still loading.
 func (d *decider) canReplaceLoading(f FormingGroup) bool {
@@ -157,17 +169,30 @@
 	case roster.Closing:
 		d.reserveWorkers(model, members)
 	case roster.Joining, roster.Ready:
-		if known && defect == "" && draining == "" && allReady(members) {
+		late := ""
+		if !d.mayOpen(ids(members), epoch) {
+			late = lateOrders
+		}
+		if known && cmp.Or(defect, draining, late) == "" && allReady(members) {
 			d.addOrder(Order{Worker: head.ID, Operation: Open, Group: group, Epoch: epoch, Reason: "all members are ready"})
 			d.groupCounts[model.Name]++
 			return
 		}
-		d.addNote(Note{Group: group, Model: model.Name, Event: "dissolved", Reason: cmp.Or(defect, draining, "no keeper is forming the group")})
-		d.orderLeave(head, group, epoch, cmp.Or(defect, draining, "no keeper is forming the group"))
+		reason := cmp.Or(defect, draining, late, "no keeper is forming the group")
+		d.addNote(Note{Group: group, Model: model.Name, Event: "dissolved", Reason: reason})
+		d.orderLeave(head, group, epoch, reason)
 		d.reserveWorkers(model, members)
 	}
 }
 
+func ids(workers []*Worker) []string {
+	var ids []string
+	for _, w := range workers {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
 func allReady(members []*Worker) bool {
 	return !slices.ContainsFunc(members, func(w *Worker) bool { return w.Membership.State != roster.Ready })
 }
