platform: grants, offsets of records that a data centre appends

A number that only grows and lasts, from which a keeper's epochs are to be derived. Excluded: the fence of an append's producer, which says only that another one was there, and committed offsets, which move back. Lost answers, dropped history and compaction leave offsets growing.

--- a/internal/instance/platform.go
+++ b/internal/instance/platform.go
@@ -32,6 +32,12 @@
 	// RegisteredAddresses returns the registered addresses, keyed by instance name.
 	RegisteredAddresses func(ctx context.Context) ([]Record, error)
 
+	// Grant takes a number from the store for an instance of a data centre, above all
+	// numbers that the data centre's instances took before.
+	Grant func(ctx context.Context, dataCentre, instance string) (int64, error)
+	// NewestGrant returns the number that was last taken for a data centre.
+	NewestGrant func(ctx context.Context, dataCentre string) (int64, error)
+
 	// Report asks a backend server for its report.
 	Report func(ctx context.Context, known roster.Server) (roster.Server, error)
 	// Order sends a backend server an order, which it carries out only if it has begun
