keeper: epochs derive from a grant on the store

Joins rejected for any reason raised a keeper's epoch by 1,000, a successor began 1,000 above what workers report, and nothing that lasts said what was sent. Keepers at once overtook each other in the same way.

A keeper appends a record as it begins; its offset makes the upper bits of its epochs. It opens groups of its own grant, whose members it sent nothing higher, once the store has said that the grant is the newest. 412 is an outcome of its own. Without the store it goes on after 1.5 s as before, or after 15 s if it has met a newer grant. In the simulation the store is away when the list is, and its answers get lost.

--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -207,7 +207,11 @@
 			service, _ := i.engine()
 			return i.gateway.Places.Utilization(service, model)
 		},
-		Report: i.platform.Report, Order: i.platform.Order, OnWorkerEnded: i.state.MarkReplaced,
+		Grant: func(ctx context.Context) (int64, error) {
+			return i.platform.Grant(ctx, settings.DataCentre, settings.Name)
+		},
+		NewestGrant: func(ctx context.Context) (int64, error) { return i.platform.NewestGrant(ctx, settings.DataCentre) },
+		Report:      i.platform.Report, Order: i.platform.Order, OnWorkerEnded: i.state.MarkReplaced,
 	}
 	i.metrics.Gauge("open_requests", "Requests in hand.", func() float64 { return float64(i.gateway.Open()) })
 	i.metrics.Gauge("waiting_requests", "Requests that wait for a place.", func() float64 { return float64(i.gateway.Places.Waiting()) })
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,6 +15,7 @@
 // was just answered.
 func (k *Keeper) sendOrders(ctx context.Context, orders []formation.Order) {
 	var calls []asyncCall
+	var confirm func() confirmation
 	for _, o := range orders {
 		w := k.workers[o.Worker]
 		if w == nil || !w.consistent || w.ordering {
@@ -28,7 +29,23 @@
 		if o.NeedsLoad {
 			k.loadBudget.spend(time.Now(), 1)
 		}
+		if o.Operation == formation.Join {
+			w.orderedEpoch = max(w.orderedEpoch, o.Epoch)
+		}
+		if o.Operation == formation.Open && confirm == nil {
+			confirm = k.confirmGrant(ctx)
+		}
 		calls = append(calls, func() func() {
+			if o.Operation == formation.Open {
+				if c := confirm(); c != confirmed {
+					return func() {
+						w.ordering = false
+						if c == contradicted {
+							k.surpass(formation.TermOf(o.Epoch))
+						}
+					}
+				}
+			}
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 			defer cancel()
 			outcome, err := k.Order(ctx, server, o, count)
@@ -67,12 +84,12 @@
 	before := w.server
 	w.applyAnswer(o, count, outcome, time.Now())
 	k.noteGroupChange(before, w.server)
-	if o.Operation == formation.Join && outcome == Rejected && k.epoch > 0 {
-		// The worker may have seen a higher epoch in a group that it has left since;
-		// its reports do not show that epoch.
-		k.epoch = max(k.epoch, o.Epoch+epochGap)
+	if outcome == Outdated {
+		// The worker's reports do not show an epoch that it has seen in a group that it has
+		// left since.
+		k.surpass(formation.TermOf(o.Epoch))
 	}
-	if f, ok := k.forming[o.Group]; ok && o.Operation == formation.Join && outcome != Rejected {
+	if f, ok := k.forming[o.Group]; ok && o.Operation == formation.Join && outcome != Rejected && outcome != Outdated {
 		f.JoinOrdered[o.Worker] = true
 	}
 	if o.Operation == formation.Open && outcome == Begun {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -44,9 +44,6 @@
 	// staleReportMargin is added to the report lag: for that time after the answer to
 	// an order, the worker's reports may still show the state before the order.
 	staleReportMargin = 150 * time.Millisecond
-	// epochGap exceeds the number of epochs that a keeper can assign between two
-	// reports of the workers.
-	epochGap = 1000
 	// noteInterval is the minimum time between two log lines for the same event of a
 	// group.
 	noteInterval   = 5 * time.Second
@@ -81,6 +78,7 @@
 	Begun                   // the worker has begun to carry it out
 	Done                    // carried out, or already in effect
 	Rejected                // the order does not apply to the worker's state
+	Outdated                // the worker has seen a higher epoch
 )
 
 // Keeper manages the groups of a data centre while its instance is the data
@@ -127,6 +125,13 @@
 	// has begun equals count.
 	Order func(ctx context.Context, to roster.Server, o formation.Order, count int64) (Outcome, error)
 
+	// Grant takes a number from the store, above all numbers that it gave for the data
+	// centre before. Nil means that there is no store.
+	Grant func(ctx context.Context) (int64, error)
+	// NewestGrant returns the number that Grant gave last for the data centre, to this
+	// keeper or another one.
+	NewestGrant func(ctx context.Context) (int64, error)
+
 	answerTimeout time.Duration // how long a step waits for answers; 0 means defaultAnswerTimeout
 
 	decide       func(formation.Input) formation.Decision // nil means formation.Decide
@@ -152,6 +157,8 @@
 	forming       map[string]formation.FormingGroup
 	staging       map[string]formation.Staging
 	epoch         int64 // the highest epoch that an order has carried
+	tenure        tenure
+	rivalSeenAt   time.Time // when another keeper was last found to have a newer grant
 	domainSizes   map[string]int
 	loadBudget    loadBudget
 	groupLostAt   map[string]time.Time // when a group of a model last lost a member, by model
@@ -204,7 +211,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heads, k.headsPublished, k.repairing, k.usage = nil, false, false, usage{}
-	k.forming, k.staging, k.epoch, k.domainSizes = nil, nil, 0, nil
+	k.forming, k.staging, k.epoch, k.domainSizes, k.tenure = nil, nil, 0, nil, tenure{}
 	for _, w := range k.workers {
 		w.consistent, w.reported, w.failedProbes = false, false, 0
 	}
@@ -215,6 +222,7 @@
 	if engine == nil {
 		return
 	}
+	k.requestGrant(ctx)
 	now := time.Now()
 	if _, read := k.List(); read.Before(k.termStart) && now.Sub(k.termStart) < listTimeout {
 		return
@@ -224,6 +232,10 @@
 	if !k.allReported() {
 		return
 	}
+	if !k.hasTerm(time.Now()) {
+		k.publishHeads()
+		return
+	}
 	in := k.decisionInput(time.Now(), engine)
 	decide := k.decide
 	if decide == nil {
@@ -263,18 +275,12 @@
 	if in.NewGroupName == nil {
 		in.NewGroupName = randomGroupName
 	}
+	in.Epoch, in.OpenFrom = k.epoch, k.tenure.openFrom()
 	for _, w := range k.workers {
 		in.Workers = append(in.Workers, formation.Worker{
-			Server: w.server, Lost: w.isLost(), OrdersKnown: w.consistent && w.failedProbes == 0, Cold: now.Before(w.server.ColdUntil), FirstSeen: w.firstSeenAt,
+			Server: w.server, Lost: w.isLost(), OrdersKnown: w.consistent && w.failedProbes == 0, Cold: now.Before(w.server.ColdUntil), FirstSeen: w.firstSeenAt, OrderedEpoch: w.orderedEpoch,
 		})
 	}
-	if in.Epoch = k.epoch; in.Epoch == 0 {
-		// Orders of an earlier keeper may be in flight, with epochs that no worker
-		// reports yet.
-		for _, w := range in.Workers {
-			in.Epoch = max(in.Epoch, w.Membership.Epoch+epochGap)
-		}
-	}
 	slices.SortFunc(in.Workers, func(a, b formation.Worker) int { return strings.Compare(a.ID, b.ID) })
 	return in
 }
--- a/internal/keeper/keeper_string.go
+++ b/internal/keeper/keeper_string.go
@@ -12,11 +12,12 @@
 	_ = x[Begun-1]
 	_ = x[Done-2]
 	_ = x[Rejected-3]
+	_ = x[Outdated-4]
 }
 
-const _Outcome_name = "UnknownBegunDoneRejected"
+const _Outcome_name = "UnknownBegunDoneRejectedOutdated"
 
-var _Outcome_index = [...]uint8{0, 7, 12, 16, 24}
+var _Outcome_index = [...]uint8{0, 7, 12, 16, 24, 32}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/keeper/sim_instance_test.go
+++ b/internal/keeper/sim_instance_test.go
@@ -26,6 +26,7 @@
 	// maxTimeoutJitter bounds a delay that makes calls end at different times, and not
 	// at the keeper's steps, so that a seed always yields the same simulation.
 	maxTimeoutJitter = 5 * time.Millisecond
+	simStoreTimeout  = 900 * time.Millisecond
 )
 
 // simInstance is a simulated entry instance with a real keeper. Its machine may be
@@ -71,6 +72,8 @@
 		HeadResponding: func(id string) bool { i.waitWhileSuspended(); return sim.headReachable(id, number) },
 		Report:         i.report,
 		Order:          i.order,
+		Grant:          i.grant,
+		NewestGrant:    i.newestGrant,
 		decide:         sim.disabledRules.decide,
 		newGroupName: func(model string) string {
 			i.waitWhileSuspended()
@@ -250,6 +253,45 @@
 	return report, nil
 }
 
+// grant takes a number from the store, which is unavailable when the list is. If the
+// answer is lost, the number is lost with it.
+func (i *simInstance) grant(ctx context.Context) (int64, error) { return i.callStore(ctx, 1) }
+
+func (i *simInstance) newestGrant(ctx context.Context) (int64, error) { return i.callStore(ctx, 0) }
+
+func (i *simInstance) callStore(ctx context.Context, numbers int64) (int64, error) {
+	var requestDelay, answerDelay time.Duration
+	var lost, unanswered bool
+	i.withCallRandom("store", func(random rng) {
+		requestDelay, answerDelay = i.delay(random), i.delay(random)
+		lost, unanswered = i.happens(random, i.sim.lossRate), i.happens(random, i.sim.lossRate)
+	})
+	i.waitWhileSuspendedThen(requestDelay)
+	ctx, cancel := context.WithTimeout(ctx, simStoreTimeout)
+	defer cancel()
+	if err := delayCall(ctx, requestDelay); err != nil {
+		return 0, err
+	}
+	f := i.sim.fleet
+	f.mu.Lock()
+	i.mu.Lock()
+	down := f.listDown || i.cutFromList
+	i.mu.Unlock()
+	if !down && !lost {
+		i.sim.grants += numbers
+	}
+	newest := i.sim.grants
+	f.mu.Unlock()
+	if down || lost || unanswered {
+		return 0, awaitTimeout(ctx, requestDelay)
+	}
+	if err := delayCall(ctx, answerDelay); err != nil {
+		return 0, err
+	}
+	i.waitWhileSuspendedThen(answerDelay)
+	return newest, nil
+}
+
 func (i *simInstance) order(ctx context.Context, to roster.Server, o formation.Order, count int64) (Outcome, error) {
 	sim := i.sim
 	var requestDelay, answerDelay, late time.Duration
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -38,6 +38,7 @@
 	firstSeenAt         time.Time
 	listed              bool
 	unlistedAt          time.Time // when it was first found missing from the list; zero while listed
+	orderedEpoch        int64     // the highest epoch of this instance's orders to join, answered or not
 	minOrders           int64     // lower bound for the orders that it has begun in this run
 	reported            bool      // a report was applied during this term as keeper
 	consistent          bool      // the order count and the group in server belong together
@@ -138,7 +139,7 @@
 // applyAnswer updates the worker from its answer to an order.
 func (w *worker) applyAnswer(o formation.Order, count int64, outcome Outcome, now time.Time) {
 	w.lastOrder, w.lastOrderAnsweredAt = o, now
-	if outcome == Unknown || outcome == Rejected {
+	if outcome == Unknown || outcome == Rejected || outcome == Outdated {
 		w.lastOrderAnsweredAt, w.consistent, w.probeAfter = time.Time{}, false, now.Add(w.maxReportLag())
 		return
 	}
