keeper: requests for grants don't take the turn of workers' reports

A step waits for as many results as it made calls. A late answer to a request for a grant counted as one, so that a report was applied a step later. Results of these requests have a channel of their own now, and the wait for a grant begins with the keeper's term, as that for the list does. Excluded: the wait itself, which ends with that for the list.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -139,6 +139,7 @@
 
 	calls   errgroup.Group
 	results chan func() // functions that apply the results of calls
+	grants  chan func() // functions that apply the results of requests for grants
 
 	mu             sync.Mutex
 	workers        map[string]*worker
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -28,7 +28,7 @@
 // a keeper that has just begun.
 type tenure struct {
 	grant       int64     // that the keeper's epochs derive from; 0 if it has none
-	wantedSince time.Time // when the keeper first requested a grant in place of the last one; zero if it has one
+	wantedSince time.Time // since when the keeper has had no grant; zero if it has one or hasn't requested one
 	unguarded   bool      // it goes on without a grant
 	requestedAt time.Time // when it last requested a grant
 	superseded  bool      // another keeper has got a grant after this one's last
@@ -40,6 +40,14 @@
 // requestGrant requests a grant if the keeper has none. One that has gone on without
 // does so only while no group is forming, since groups of the epochs before are given up.
 func (k *Keeper) requestGrant(ctx context.Context) {
+	if k.grants == nil {
+		k.grants = make(chan func())
+	}
+	select {
+	case apply := <-k.grants:
+		k.applyResult(apply)
+	default:
+	}
 	now, interval := time.Now(), grantRetryInterval
 	if k.tenure.unguarded {
 		interval = grantRenewalInterval
@@ -48,13 +56,16 @@
 		return
 	}
 	if k.tenure.wantedSince.IsZero() {
-		k.tenure.wantedSince = now
+		k.tenure.wantedSince = k.termStart
+		if k.tenure.superseded {
+			k.tenure.wantedSince = now
+		}
 	}
 	k.tenure.requestedAt = now
 	began := k.termStart
-	k.runCalls(ctx, []asyncCall{func() func() {
+	k.calls.Go(func() error {
 		grant, err := k.Grant(ctx)
-		return func() {
+		apply := func() {
 			if k.termStart != began {
 				return // another keeper may have got a grant between the two terms
 			}
@@ -69,7 +80,12 @@
 			k.tenure = tenure{grant: grant}
 			k.epoch = max(k.epoch, k.tenure.openFrom())
 		}
-	}})
+		select {
+		case k.grants <- apply:
+		case <-ctx.Done():
+		}
+		return nil
+	})
 }
 
 // hasTerm reports whether the keeper has epochs above those that workers report. It
