keeper: a head is given up after a second and a half without a sign of it

Cause: callers of streams saw them cut although their worker was sound. A head that left probes unanswered for a second was given up and its group dissolved; a sound worker may be silent for a second or so and go on.

Change: silentHeadTimeout is 1.5 s.

Members that aren't heads are still given up after two probes; that isn't changed here.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -59,7 +59,7 @@
 	// silentHeadTimeout is how long a head may leave probes unanswered before it is
 	// given up and its members leave the group. Meanwhile the other instances probe
 	// the head.
-	silentHeadTimeout = time.Second
+	silentHeadTimeout = 1500 * time.Millisecond
 	// unlistedHeadTimeout is how long a group may have no known head before its
 	// members leave it. Entries that expired during an outage of the platform are
 	// written again within that time.
