entry, clientconn: requests that are arriving at a shutdown are answered

SetKeepAlivesEnabled closes connections on which a part of a request was read; with no request active, Close cut all that were arriving; and Close could cut the end of an answer whose handler had returned.

Change: the connections that the gateway closes when they are idle have a package of their own, internal/clientconn, and the callers' listener uses it, below TLS. A shutdown waits for connections, within its deadline, before it closes what is left. Answers whose heads are written during a shutdown say that their connection will be closed.

With TLS it was not run beyond the existing tests.

--- a/internal/gateway/clientconn.go
+++ b/internal/clientconn/conn.go
@@ -1,7 +1,8 @@
-package gateway
+package clientconn
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -16,19 +17,20 @@
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 )
 
-//go:generate go tool stringer -type=loss -linecomment -output=loss_string.go
+//go:generate go tool stringer -type=Loss -linecomment -output=loss_string.go
 
-// loss is how a request ended without a whole answer on its connection, unless its
+// Loss is how a request ended without a whole answer on its connection, unless its
 // handler ended it so or its client left.
-type loss int
+type Loss int
 
+// The losses.
 const (
-	answerNotSent  loss = iota // answer not sent
-	requestDropped             // request dropped
-	requestUnread              // request not read
+	AnswerNotSent  Loss = iota // answer not sent
+	RequestDropped             // request dropped
+	RequestUnread              // request not read
 )
 
-// clientConn is a connection from a client, as net/http uses it. It can be closed as soon
+// Conn is a connection from a client, as net/http uses it. It can be closed as soon
 // as it is idle, which net/http itself takes a connection to be until it has parsed a
 // whole head. And it notes what handlers don't see: net/http sends the last part of an
 // answer after its handler has returned, and may close a connection on which it has read
@@ -37,12 +39,13 @@
 // For each request, net/http sets a read deadline for the wait, reads, sets one for the
 // head, and calls the handler, while it reads on in the background. After the answer it
 // calls onState with StateIdle.
-type clientConn struct {
+type Conn struct {
 	net.Conn
-	onLoss func(loss, telemetry.Fields) // called at most once; may be nil
+	OnLoss func(Loss, telemetry.Fields) // called at most once; may be nil
 
 	mu           sync.Mutex
-	request      string    // ID of the request in progress, once its handler has parsed it
+	handled      bool      // a handler has the request in progress
+	request      string    // ID of that request
 	received     int64     // bytes read of the request in progress; 0 means that the connection is idle
 	early        int64     // bytes read since the last write, which belong to the next request once the answer is sent
 	sent         int64     // bytes written since the last answer
@@ -53,32 +56,43 @@
 	ended        bool      // closed, reported, or ended by a handler
 }
 
-type clientConnKey struct{}
+type connKey struct{}
 
-// clientConnContext is a function for http.Server.ConnContext.
-func clientConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, c)
+// Context is a function for http.Server.ConnContext.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, unwrap(c))
 }
 
-// clientConnOf returns the connection of a request, or nil if it isn't a clientConn.
-func clientConnOf(r *http.Request) *clientConn {
-	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
+// Of returns the connection of a request, or nil if its server doesn't use Context with
+// connections of this package.
+func Of(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
 	return c
 }
 
-// begin notes the ID of the request in progress. It does nothing for nil.
-func (c *clientConn) begin(request string) {
+// unwrap returns the connection that a server accepted, which may be below TLS.
+func unwrap(c net.Conn) *Conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	conn, _ := c.(*Conn)
+	return conn
+}
+
+// Begin notes that a handler has the request, and its ID. Handlers call it before anything
+// that takes long. It does nothing for nil.
+func (c *Conn) Begin(request string) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request = request
+	c.handled, c.request = true, request
 	c.applyReadDeadline()
 }
 
-// cut notes that the handler ends the connection on purpose. It does nothing for nil.
-func (c *clientConn) cut() {
+// Cut notes that the handler ends the connection on purpose. It does nothing for nil.
+func (c *Conn) Cut() {
 	if c == nil {
 		return
 	}
@@ -88,19 +102,19 @@
 }
 
 // onState is called when the state of the connection changes.
-func (c *clientConn) onState(state http.ConnState) {
+func (c *Conn) onState(state http.ConnState) {
 	if state != http.StateIdle {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request, c.received, c.sent, c.readErr, c.deadlinesSet = "", c.early, 0, nil, 0
+	c.handled, c.request, c.received, c.sent, c.readErr, c.deadlinesSet = false, "", c.early, 0, nil, 0
 	c.applyReadDeadline()
 }
 
 // closeWhenIdle makes net/http close the connection as soon as no request is in progress
 // or arriving. A request that has arrived by then is still answered.
-func (c *clientConn) closeWhenIdle() {
+func (c *Conn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
@@ -108,7 +122,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -126,7 +140,7 @@
 // applyReadDeadline replaces the read deadline of a connection that is to be closed: the
 // wait for a request ends at once, and a head must arrive within a bounded time. The
 // mutex must be held.
-func (c *clientConn) applyReadDeadline() {
+func (c *Conn) applyReadDeadline() {
 	if !c.closing {
 		return
 	}
@@ -134,18 +148,21 @@
 	switch {
 	case c.received == 0:
 		deadline = time.Unix(1, 0)
-	case c.request == "":
+	case !c.handled:
 		deadline = c.headDeadline()
 	}
 	// It fails only for a connection that is closed already.
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
+// headTimeout is the time for a head on a connection that is to be closed.
+const headTimeout = 3 * time.Second
+
 // headDeadline returns the read deadline for a head whose first bytes have arrived, if it
 // is not to be that of the wait for it. The mutex must be held.
-func (c *clientConn) headDeadline() time.Time {
+func (c *Conn) headDeadline() time.Time {
 	now := time.Now()
-	if limit := now.Add(defaultHeaderTimeout); !c.readDeadline.After(now) || limit.Before(c.readDeadline) {
+	if limit := now.Add(headTimeout); !c.readDeadline.After(now) || limit.Before(c.readDeadline) {
 		return limit
 	}
 	return c.readDeadline
@@ -153,7 +170,7 @@
 
 // Read implements io.Reader. At the end of the wait for a request it reads what has
 // arrived at the last moment.
-func (c *clientConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -175,7 +192,7 @@
 }
 
 // Write implements io.Writer.
-func (c *clientConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.early = 0
 	c.mu.Unlock()
@@ -185,41 +202,41 @@
 	c.mu.Unlock()
 	// Other errors are the client's: it has left.
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
-		c.report(answerNotSent, err)
+		c.report(AnswerNotSent, err)
 	}
 	return n, err
 }
 
 // Close implements io.Closer.
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
-	inHandler, clientEnded, received := c.request != "" || c.sent > 0, c.readErr != nil, c.received
+	inHandler, clientEnded, received := c.handled || c.sent > 0, c.readErr != nil, c.received
 	c.mu.Unlock()
 	switch {
 	case inHandler: // a write that fails afterwards tells
 	case clientEnded:
-		c.cut()
+		c.Cut()
 	case received > 0:
-		c.report(requestDropped, nil)
+		c.report(RequestDropped, nil)
 	case receiveNow(c.Conn, make([]byte, 1), peek) > 0:
-		c.report(requestUnread, nil)
+		c.report(RequestUnread, nil)
 	default:
-		c.cut()
+		c.Cut()
 	}
 	return c.Conn.Close()
 }
 
 // CloseWrite closes the connection for writing, which net/http does before it discards
 // the rest of a body.
-func (c *clientConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
-// report calls onLoss unless the end of the connection is known.
-func (c *clientConn) report(l loss, err error) {
+// report calls OnLoss unless the end of the connection is known.
+func (c *Conn) report(l Loss, err error) {
 	c.mu.Lock()
 	known := c.ended
 	c.ended = true
@@ -228,13 +245,13 @@
 		fields["request"] = c.request
 	}
 	c.mu.Unlock()
-	if known || c.onLoss == nil {
+	if known || c.OnLoss == nil {
 		return
 	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
-	c.onLoss(l, fields)
+	c.OnLoss(l, fields)
 }
 
 // peek is a flag of receiveNow that leaves what it receives on the connection.
--- a/internal/gateway/clientconn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -1,4 +1,4 @@
-package gateway
+package clientconn
 
 import (
 	"bufio"
@@ -21,19 +21,19 @@
 // lossRecord collects the losses that connections report.
 type lossRecord struct {
 	mu     sync.Mutex
-	losses []loss
+	losses []Loss
 }
 
-func (r *lossRecord) add(l loss, _ telemetry.Fields) {
+func (r *lossRecord) add(l Loss, _ telemetry.Fields) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.losses = append(r.losses, l)
 }
 
-func (r *lossRecord) get() []loss {
+func (r *lossRecord) get() []Loss {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]loss{}, r.losses...)
+	return append([]Loss{}, r.losses...)
 }
 
 // recordingListener wraps its connections.
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, onLoss: l.record.add}, nil
+	return &Conn{Conn: conn, OnLoss: l.record.add}, nil
 }
 
 // newRecordingServer returns a server that reports losses, and a connection to it.
@@ -55,8 +55,8 @@
 	record := &lossRecord{}
 	s := httptest.NewUnstartedServer(handler)
 	s.Listener = recordingListener{s.Listener, record}
-	s.Config.ConnContext = clientConnContext
-	s.Config.ConnState = func(c net.Conn, state http.ConnState) { c.(*clientConn).onState(state) }
+	s.Config.ConnContext = Context
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) { c.(*Conn).onState(state) }
 	s.Start()
 	t.Cleanup(s.Close)
 	client, err := net.Dial("tcp4", s.Listener.Addr().String())
@@ -77,19 +77,19 @@
 		name    string
 		handler http.HandlerFunc
 		then    func(g *WithT, client net.Conn)
-		want    []loss
+		want    []Loss
 	}{
 		{"a whole answer", func(w http.ResponseWriter, _ *http.Request) {}, func(g *WithT, client net.Conn) {
 			_, err := http.ReadResponse(bufio.NewReader(client), nil)
 			g.Expect(err).NotTo(HaveOccurred())
 		}, nil},
 		{"an answer that is sent too late, after its handler", func(w http.ResponseWriter, r *http.Request) {
-			clientConnOf(r).begin("r")
+			Of(r).Begin("r")
 			fmt.Fprint(w, "x")
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
-		}, nil, []loss{answerNotSent}},
+		}, nil, []Loss{AnswerNotSent}},
 		{"a handler that cuts the connection", func(_ http.ResponseWriter, r *http.Request) {
-			clientConnOf(r).begin("r")
+			Of(r).Begin("r")
 			panic(http.ErrAbortHandler)
 		}, nil, nil},
 	} {
@@ -122,7 +122,7 @@
 		}).Should(HaveOccurred())
 		_, err = io.WriteString(client, "Host: a\r\n\r\n")
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Eventually(record.get).Should(Equal([]loss{requestDropped}))
+		g.Eventually(record.get).Should(Equal([]Loss{RequestDropped}))
 	})
 	t.Run("a request on an idle connection that is closed unread", func(t *testing.T) {
 		g := NewWithT(t)
@@ -136,8 +136,8 @@
 		server, err := recordingListener{l, record}.Accept()
 		g.Expect(err).NotTo(HaveOccurred())
 		sendRequest(g, client)
-		g.Eventually(func() int { return receiveNow(server.(*clientConn).Conn, make([]byte, 1), peek) }).Should(Equal(1))
+		g.Eventually(func() int { return receiveNow(server.(*Conn).Conn, make([]byte, 1), peek) }).Should(Equal(1))
 		g.Expect(server.Close()).To(Succeed())
-		g.Expect(record.get()).To(Equal([]loss{requestUnread}))
+		g.Expect(record.get()).To(Equal([]Loss{RequestUnread}))
 	})
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/chicorystall/chicorystall/internal/clientconn"
 	"github.com/chicorystall/chicorystall/pkg/retry"
 )
 
@@ -52,6 +53,8 @@
 		if id == "" || tooLong {
 			id = uuid.NewString()
 		}
+		clientconn.Of(r).Begin(id)
+		w = &stopWriter{ResponseWriter: w, draining: s.isDraining}
 		r.Header.Set(headerRequestID, id)
 		w.Header().Set(headerRequestID, id)
 		limit := s.settings.Limits.MaxHeaderBytes
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicorystall/chicorystall/internal/clientconn"
 	"github.com/chicorystall/chicorystall/internal/peer"
 )
 
@@ -38,6 +39,7 @@
 	operators net.Listener
 
 	callersServer *http.Server
+	callersConns  clientconn.Set
 }
 
 // listen opens all listeners. If one fails, it closes the others.
@@ -57,6 +59,9 @@
 			l.close()
 			return nil, errors.Wrapf(err, "listen on %s", item.address)
 		}
+		if item.into == &l.callers {
+			listener = callersListener{listener, &l.callersConns}
+		}
 		if item.tls != nil {
 			listener = tls.NewListener(listener, item.tls)
 		}
@@ -78,11 +83,28 @@
 	}
 }
 
+// callersListener notes the connections that it accepts.
+type callersListener struct {
+	net.Listener
+	conns *clientconn.Set
+}
+
+func (l callersListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &clientconn.Conn{Conn: conn}
+	l.conns.Add(c)
+	return c, nil
+}
+
 // stopCallers accepts no new connections of callers and closes existing ones after
-// their current request, so that callers connect to another entry instance.
-func (l *listeners) stopCallers() {
-	l.callersServer.SetKeepAlivesEnabled(false)
+// their current request, so that callers connect to another entry instance. The channel
+// that it returns is closed when all are closed.
+func (l *listeners) stopCallers() <-chan struct{} {
 	_ = l.callers.Close()
+	return l.callersConns.CloseWhenIdle()
 }
 
 // closeCallers closes all connections of callers.
@@ -91,6 +113,7 @@
 // startServers starts the servers for callers, other entry instances and operators.
 func (s *Server) startServers(ctx context.Context, group *errgroup.Group, l *listeners) {
 	l.callersServer = s.httpServer(s.callersHandler())
+	l.callersServer.ConnState, l.callersServer.ConnContext = l.callersConns.OnState, clientconn.Context
 	operators := s.httpServer(s.operatorsHandler())
 	peers := peer.Server{Handler: peer.Handler{
 		Hello:    s.members.HandleHello,
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -40,6 +40,12 @@
 	return s.release, nil
 }
 
+func (s *Server) isDraining() bool {
+	s.drain.mu.Lock()
+	defer s.drain.mu.Unlock()
+	return s.drain.draining
+}
+
 // trackWork counts background work that a graceful shutdown has to wait for. The
 // caller must call done when the work ends.
 func (s *Server) trackWork() (done func()) {
@@ -109,8 +115,9 @@
 	s.drain.draining = true
 	cut := s.drain.cutCtx
 	s.drain.mu.Unlock()
-	l.stopCallers()
+	closed := l.stopCallers()
 	s.awaitIdle(ctx, cut)
+	awaitClosed(ctx, cut, closed)
 	l.closeCallers()
 	s.leave(ctx, cut)
 }
@@ -148,6 +155,21 @@
 	}
 }
 
+// awaitClosed waits until the callers' connections have ended, also those on which a
+// request is arriving or the end of an answer is still being sent.
+func awaitClosed(ctx, cut context.Context, closed <-chan struct{}) {
+	select {
+	case <-closed:
+		return
+	case <-ctx.Done():
+	case <-cut.Done():
+	}
+	select {
+	case <-closed:
+	case <-time.After(cutGracePeriod):
+	}
+}
+
 // cutGracePeriod is the time in which cut requests can still send a refusal to their
 // callers.
 const cutGracePeriod = 2 * time.Second
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chicorystall/chicorystall/internal/clientconn"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
@@ -90,7 +91,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "malformed"}
 	}
 	q.call, q.trace.Request = call, call.ID
-	clientConnOf(q.incoming).begin(call.ID)
+	clientconn.Of(q.incoming).Begin(call.ID)
 	q.view = g.View()
 	if q.view.Catalog == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: staleRetryAfter}
@@ -312,7 +313,7 @@
 // cut ends the request by closing the client's connection. It doesn't return.
 func (q *request) cut(outcome string, err error) {
 	q.recordEnd(outcome, err)
-	clientConnOf(q.incoming).cut()
+	clientconn.Of(q.incoming).Cut()
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicorystall/chicorystall/internal/clientconn"
 	"github.com/chicorystall/chicorystall/internal/exchange"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/catalog"
@@ -45,7 +46,7 @@
 	MemoryBytes      int64                 // bytes that the process may take; 0 means defaultMemoryBytes
 	Log              *telemetry.Log
 
-	conns clientConns
+	conns clientconn.Set
 
 	mu             sync.Mutex
 	limiter        *memoryLimiter
@@ -134,10 +135,10 @@
 		s.refuseConn(conn)
 		return
 	}
-	client := &clientConn{Conn: conn, onLoss: s.noteLoss}
-	s.conns.add(client)
+	client := &clientconn.Conn{Conn: conn, OnLoss: s.noteLoss}
+	s.conns.Add(client)
 	if !server.deliver(client) {
-		s.conns.remove(client)
+		s.conns.Remove(client)
 		s.limiter.releaseConn()
 	}
 }
@@ -161,7 +162,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnState:         s.onState,
-		ConnContext:       clientConnContext,
+		ConnContext:       clientconn.Context,
 	}
 	s.limits, s.current = limits, server
 	s.listener = &connListener{addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -173,17 +174,12 @@
 
 // onState is a callback for http.Server.ConnState.
 func (s *Server) onState(conn net.Conn, state http.ConnState) {
-	if client, ok := conn.(*clientConn); ok {
-		client.onState(state)
-		if state == http.StateClosed || state == http.StateHijacked {
-			s.conns.remove(client)
-		}
-	}
+	s.conns.OnState(conn, state)
 	s.limiter.onState(conn, state)
 }
 
 // noteLoss logs and counts a request whose connection ended without a whole answer.
-func (s *Server) noteLoss(l loss, fields telemetry.Fields) {
+func (s *Server) noteLoss(l clientconn.Loss, fields telemetry.Fields) {
 	s.Gateway.Metrics.LostAnswers.WithLabelValues(l.String()).Inc()
 	s.Log.Info("no whole answer", fields)
 }
@@ -193,7 +189,7 @@
 // part of a request was read, and drops requests that it reads later.
 func (s *Server) shutdown(ctx context.Context) {
 	select {
-	case <-s.conns.closeWhenIdle():
+	case <-s.conns.CloseWhenIdle():
 	case <-ctx.Done():
 		s.Log.Warn("cut what was left", telemetry.Fields{"open": s.Gateway.Open(), "error": ctx.Err().Error()})
 	}
