--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -10,5 +10,8 @@
 //	...
 //	<-set.CloseWhenIdle()
 //
-// Handlers call Begin, and write "Connection: close" into answers during a stop.
+// Handlers must call Begin first, since the time for a head is bounded until then, and
+// write "Connection: close" into answers during a stop. HTTP/2 isn't supported. Below TLS,
+// a connection without a request counts as idle only after its first answer, or when the
+// time for a head is over.
 package clientconn
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -185,7 +185,7 @@
 	limits := s.settings.Limits
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limits.MaxBodyBytes)))
+	body, err := io.ReadAll(http.MaxBytesReader(withoutStop(w), r.Body, int64(limits.MaxBodyBytes)))
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -156,20 +156,29 @@
 }
 
 // awaitClosed waits until the callers' connections have ended, also those on which a
-// request is arriving or the end of an answer is still being sent.
+// request is arriving or the end of an answer is still being sent. A caller that doesn't
+// read its answers delays that for closeTimeout at most.
 func awaitClosed(ctx, cut context.Context, closed <-chan struct{}) {
 	select {
 	case <-closed:
 		return
+	case <-time.After(closeTimeout):
 	case <-ctx.Done():
 	case <-cut.Done():
 	}
 	select {
 	case <-closed:
-	case <-time.After(cutGracePeriod):
+	case <-time.After(flushTimeout):
 	}
 }
 
+const (
+	// closeTimeout is the time for requests that are arriving once no other one is active.
+	closeTimeout = 5 * time.Second
+	// flushTimeout is the time for the ends of answers whose handlers have returned.
+	flushTimeout = 100 * time.Millisecond
+)
+
 // cutGracePeriod is the time in which cut requests can still send a refusal to their
 // callers.
 const cutGracePeriod = 2 * time.Second
--- a/internal/entry/stopping_test.go
+++ b/internal/entry/stopping_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -64,3 +68,52 @@
 		}
 	}
 }
+
+// A body that was too large was read for half a second more before its refusal was sent,
+// since net/http didn't learn that it is too large.
+func TestTooLargeBodyIsRefusedWithoutReadingOn(t *testing.T) {
+	g := NewWithT(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = &stopWriter{ResponseWriter: w, draining: func() bool { return false }}
+		_, err := io.ReadAll(http.MaxBytesReader(withoutStop(w), r.Body, 10))
+		g.Expect(err).To(HaveOccurred())
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"+strings.Repeat("x", 100))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil) // while the rest of the body never comes
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	g.Expect(response.Close).To(BeTrue())
+}
+
+// A caller that doesn't read its answers held a shutdown until its deadline.
+func TestOpenConnectionsDelayAShutdownForABoundedTime(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  bool
+		want time.Duration
+	}{
+		{"before the deadline", false, closeTimeout + flushTimeout},
+		{"after a cut", true, flushTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cut, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.cut {
+					cancel()
+				}
+				start := time.Now()
+				awaitClosed(t.Context(), cut, make(chan struct{}))
+				NewWithT(t).Expect(time.Since(start)).To(Equal(c.want))
+			})
+		})
+	}
+}
--- a/internal/entry/stopwriter.go
+++ b/internal/entry/stopwriter.go
@@ -39,3 +39,12 @@
 
 // Unwrap is called by http.ResponseController.
 func (w *stopWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// withoutStop returns the writer that http.MaxBytesReader needs, since it tells net/http's
+// own writer of a body that is too large.
+func withoutStop(w http.ResponseWriter) http.ResponseWriter {
+	if stop, ok := w.(*stopWriter); ok {
+		return stop.ResponseWriter
+	}
+	return w
+}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chicorystall/chicorystall/internal/clientconn"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 )
@@ -147,6 +148,7 @@
 
 // ServeHTTP implements http.Handler.
 func (m *memoryLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	clientconn.Of(r).Begin("") // the ID isn't known yet
 	if r.ContentLength == 0 {
 		m.next.ServeHTTP(w, r)
 		return
--- a/pkg/formation/term_test.go
+++ b/pkg/formation/term_test.go
@@ -27,7 +27,7 @@
 			g.Expect(c.later.Before(c.earlier)).To(BeFalse())
 			g.Expect(formation.TermOf(c.earlier.Base())).To(Equal(c.earlier))
 			g.Expect(formation.TermOf(c.later.Base() - 1).Before(c.later)).To(BeTrue())
-			g.Expect(formation.TermOf(c.later.Base() + 10_000)).To(Equal(c.later), "a term has room for epochs")
+			g.Expect(formation.TermOf(c.later.Base()+10_000)).To(Equal(c.later), "a term has room for epochs")
 		})
 	}
 }
