--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -97,13 +97,18 @@
 // allowPauses removes the TCP user timeout, so that the server may pause while it reads a
 // long request. The timeout isn't set again: what the server hasn't read may still fill its
 // window during the next request.
-func (c *conn) allowPauses() {
-	sc, ok := c.Conn.(syscall.Conn)
+func (c *conn) allowPauses() { applyUserTimeout(c.Conn, 0) }
+
+// limitPauses sets the TCP user timeout on a connection that was accepted.
+func limitPauses(c net.Conn) { applyUserTimeout(c, tcpUserTimeout) }
+
+func applyUserTimeout(c net.Conn, timeout time.Duration) {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return
 	}
 	if raw, err := sc.SyscallConn(); err == nil {
-		_ = setUserTimeout(raw, 0) // fails if the connection is closed, and then the write does
+		_ = setUserTimeout(raw, timeout) // fails if the connection is closed, and then the next write does
 	}
 }
 
--- a/internal/exchange/patient.go
+++ b/internal/exchange/patient.go
@@ -174,5 +174,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := tcpInfo(c); err != nil {
+		// Nothing else tells that a client is out of reach, and it would hold its place
+		// at a backend server until its deadline.
+		limitPauses(c)
+	}
 	return &patientConn{Conn: c, maxWriteTime: maxWriteTime}, nil
 }
