--- a/internal/exchange/limit_pauses_test.go
+++ b/internal/exchange/limit_pauses_test.go
@@ -26,7 +26,9 @@
 	userTimeout := func() (milliseconds int) {
 		raw, err := accepted.(syscall.Conn).SyscallConn()
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(raw.Control(func(fd uintptr) { milliseconds, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })).To(Succeed())
+		g.Expect(raw.Control(func(fd uintptr) {
+			milliseconds, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		})).To(Succeed())
 		g.Expect(err).NotTo(HaveOccurred())
 		return milliseconds
 	}
