platform, gateway: answers are read for the limit that their server names

Texts that are no decimal number neither name a limit nor end one, nor does an answer that nothing shows to be the server's.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -40,8 +40,29 @@
 	// Rest is how long the server wants no further requests from this instance; 0 if it
 	// doesn't say so.
 	Rest time.Duration
+	// Limit says how many requests per second the server takes from all instances together.
+	Limit RateLimit
 }
 
+// RateLimit is what an answer says about the limit of its server. The zero value is
+// that of an answer that can't say anything about it.
+type RateLimit struct {
+	Word      LimitWord
+	PerSecond float64 // requests, if Word is Named
+}
+
+//go:generate go tool stringer -type=LimitWord
+
+// LimitWord is how an answer speaks about the limit of its server.
+type LimitWord int
+
+// The ways.
+const (
+	Unknown   LimitWord = iota // it is not known to be the server's, or can't be read
+	Named                      // the server names a limit
+	Unlimited                  // the server names none
+)
+
 // Dialect translates between the gateway and the header conventions of clients and
 // backend servers.
 type Dialect struct {
