dispatch, ratelimit: the limits that servers name are kept by all instances together

Cause: a place's load was bounded by its slots alone; nothing held a rate that all instances share, and nothing read the limit. Excluded: repeats (none at these servers from 6 to 13 s), the restart at 13 s (all breaks are earlier). Change: pkg/ratelimit holds one account of each limited server: what all instances sent within a window, and their demand, exchanged in the digests that they send anyway. Each admits a part of what is left by its share of the demand; rounding is drawn, so that parts below one request add up. Unheard instances count as users of a part. The account is one more condition of a place, beside bars and cold starts, so it binds first attempts, repeats, resumed streams, handed-over and waiting requests alike. A limited place counts with the requests that its limit lets run, for the choice of a place, Retry-After and the keepers' use of spares. When all places of a service are limited, what can't start in time is refused at once. Weighed: pkg/limit (slots, with loans by calls between instances of one data centre; a rate has no release to return a loan by); turns as for cold places (equal parts, unused ones are lost: senders are uneven here, 1 to 22 requests each); a server's limit owned by one instance (a second protocol and a takeover for a bound that holds without). Tests that fail without the account: TestLimitIsKeptByAllInstancesTogether (by construction), TestLimitedPlace, TestServerGetsNoMoreThanTheLimitThatItNames.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,10 +79,14 @@
 	if refused := q.blockedRefusal(); refused != nil { // a part may have been blocked while the request waited
 		return attemptResult{next: stepGiveUp, refusal: *refused}
 	}
-	q.trace.Add("placed", telemetry.Fields{
+	fields := telemetry.Fields{
 		"place": d.Place.ID, "data_centre": d.Place.DataCentre, "model": q.call.Model, "waited_ms": sent.Sub(waitStart).Milliseconds(),
 		"running": d.Running, "free": d.FreeSlots, "waiting": d.Waiting, "prompt": q.call.PromptTokens, "remaining_ms": remaining.Milliseconds(), "last_event": s.lastEvent,
-	})
+	}
+	if l := d.Limit; l != nil {
+		fields["limit_per_second"], fields["limit_age_ms"], fields["limit_part_per_second"] = l.PerSecond, l.Age.Milliseconds(), l.Part
+	}
+	q.trace.Add("placed", fields)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{
@@ -238,12 +242,27 @@
 func (a *attempt) ownsAnswer(status int, h http.Header, reused bool) bool {
 	meta := a.gateway.Dialect.ParseAnswer(status, h)
 	a.noteWord(meta)
-	if meta.RequestID != "" {
-		return meta.RequestID == a.call.ID
-	}
 	// Without an ID, an answer on a reused connection may be a late answer to an
 	// earlier request.
-	return !reused
+	owned := !reused
+	if meta.RequestID != "" {
+		owned = meta.RequestID == a.call.ID
+	}
+	if meta.Limit.Word == Named || owned {
+		a.noteLimit(meta.Limit)
+	}
+	return owned
+}
+
+// noteLimit records and logs what an answer says about the limit of its server.
+func (a *attempt) noteLimit(limit RateLimit) {
+	if !a.gateway.Places.noteLimit(a.server.ID, a.run, limit) {
+		return
+	}
+	a.gateway.Metrics.Limits.WithLabelValues(limit.Word.String()).Inc()
+	a.gateway.Log.Info("server limit", telemetry.Fields{
+		"place": a.server.ID, "run": a.run, "word": limit.Word.String(), "per_second": limit.PerSecond, "request": a.call.ID,
+	})
 }
 
 // noteWord records and logs what an answer says about requests to its server.
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/ratelimit"
 )
 
 // dispatchInterval is how often waiting requests are checked if no other event
@@ -78,7 +79,7 @@
 		p.notify(t, dispatch.Decision{Verdict: dispatch.Run, Place: t.Place()})
 	}
 	for _, t := range p.scheduler.RemoveExpired(now) {
-		p.notify(t, p.scheduler.Refusal(t))
+		p.notify(t, p.scheduler.Refusal(now, t))
 	}
 }
 
@@ -175,6 +176,42 @@
 	return cause, false
 }
 
+// noteLimit records what a server's answer says about its limit, and reports whether that
+// begins, changes or ends one.
+func (p *Places) noteLimit(id string, run int64, limit RateLimit) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch now := time.Now(); limit.Word {
+	case Named:
+		return p.scheduler.NoteLimit(now, id, run, limit.PerSecond)
+	case Unlimited:
+		return p.scheduler.NoteUnlimited(now, id, run)
+	}
+	return false
+}
+
+// LimitReports returns what to tell the peers of the limits that servers named.
+func (p *Places) LimitReports() []ratelimit.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.LimitReports(time.Now())
+}
+
+// MergeLimits records what a peer, or a relay for several, told of limits. It returns the
+// servers whose limits are news.
+func (p *Places) MergeLimits(peer string, reports []ratelimit.Report) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.MergeLimits(time.Now(), peer, reports)
+}
+
+// Limited returns the number of servers whose limits hold now.
+func (p *Places) Limited() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Limited(time.Now())
+}
+
 // LeavingServers returns the servers that lately said to this process that they leave.
 func (p *Places) LeavingServers() []dispatch.LeavingServer {
 	p.mu.Lock()
@@ -258,12 +295,12 @@
 func (p *Places) RetryAfter(service, model string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.RetryAfter(service, model)
+	return p.scheduler.RetryAfter(time.Now(), service, model)
 }
 
 // Utilization returns the used fraction, from 0 to 1, of the slots of a service and model.
 func (p *Places) Utilization(service, model string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.Utilization(service, model)
+	return p.scheduler.Utilization(time.Now(), service, model)
 }
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -63,6 +63,7 @@
 	for _, s := range i.gateway.Places.LeavingServers() {
 		d.LeavingServers = append(d.LeavingServers, neighbour.LeavingServer{Server: s.ID, Run: s.Run})
 	}
+	d.Limits = limitsOf(i.gateway.Places.LimitReports())
 	i.mu.Lock()
 	for id, at := range i.reachedAt {
 		if time.Since(at) >= reachableFor {
@@ -136,6 +137,7 @@
 	default:
 		i.gateway.Places.SetPeerLoads(d.Instance, loads)
 	}
+	i.mergeLimits(d)
 	i.gateway.Places.SetFailing(d.FailingHeads)
 	for _, s := range d.LeavingServers {
 		if i.gateway.Places.NotePeerLeaving(dispatch.LeavingServer{ID: s.Server, Run: s.Run}) {
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -226,6 +226,7 @@
 	i.metrics.Gauge("spare_workers", "Model workers of the data centre in no group, told by its keeper.", func() float64 {
 		return float64(i.keeper.SpareWorkers())
 	})
+	i.metrics.Gauge("limited_servers", "Backend servers whose limits on requests per second hold.", func() float64 { return float64(i.gateway.Places.Limited()) })
 	i.metrics.Gauge("log_lines_dropped", "Log lines left out.", func() float64 { return float64(i.log.Dropped()) })
 	return i
 }
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -112,6 +112,11 @@
 			return newRefusal(OutOfRange, "the position or an age of the suspected part %q is out of range", s.Part)
 		}
 	}
+	for _, l := range d.Limits {
+		if !l.isValid() {
+			return newRefusal(OutOfRange, "limit of %v requests per second of server %q, or what is sent there, is out of range", l.PerSecond, l.Server)
+		}
+	}
 	for p := range d.allPlaces() {
 		if !isValidCount(p.Slots) || p.Cold < 0 || p.Cold > maxCold.Milliseconds() || p.Run < 0 {
 			return newRefusal(OutOfRange, "place with %d slots, %d ms of cold start and the run %d is out of range", p.Slots, p.Cold, p.Run)
@@ -128,13 +133,21 @@
 	return p
 }
 
+func (l Limit) isValid() bool {
+	return isValidRate(l.PerSecond) && isValidRate(l.Demand) && l.Run >= 0 && isValidAge(l.NamedAge) && isValidAge(l.FreeAge) &&
+		isValidCount(l.Sent) && isValidCount(l.Instances) && l.Instances <= maxPeers
+}
+
+// isValidRate reports whether a number is one of requests per second. It is false for NaN.
+func isValidRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxCount }
+
 func isValidAge(ms int64) bool     { return ms >= 0 && ms <= maxAge.Milliseconds() }
 func isValidCount(n int) bool      { return n >= 0 && n <= maxCount }
 func (d *Digest) memoryBytes() int { return d.entryCount()*entryBytes + d.stringBytes() }
 
 // entryCount returns the number of entries in all lists together.
 func (d *Digest) entryCount() int {
-	n := len(d.Load) + len(d.StalledHeads) + len(d.ProgressingHeads) + len(d.SilentHeads) + len(d.ReachedHeads) + len(d.FailingHeads) + len(d.LeavingServers) + len(d.SilentHeadStarts) + len(d.Gone) + len(d.Echoes) + len(d.OtherDataCentres)
+	n := len(d.Load) + len(d.StalledHeads) + len(d.ProgressingHeads) + len(d.SilentHeads) + len(d.ReachedHeads) + len(d.FailingHeads) + len(d.LeavingServers) + len(d.Limits) + len(d.SilentHeadStarts) + len(d.Gone) + len(d.Echoes) + len(d.OtherDataCentres)
 	for range d.allPlaces() {
 		n++
 	}
@@ -209,6 +222,11 @@
 			return false
 		}
 	}
+	for _, l := range d.Limits {
+		if !visit(l.Server) {
+			return false
+		}
+	}
 	for _, s := range d.LeavingServers {
 		if !visit(s.Server) {
 			return false
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -88,6 +88,10 @@
 	Suspects []Suspect `cbor:"33,keyasint,omitempty"`
 	// LeavingServers lists the backend servers that lately said to the sender that they leave.
 	LeavingServers []LeavingServer `cbor:"34,keyasint,omitempty"`
+	// Limits lists the backend servers that named a limit on requests, and what the sender
+	// sends to them. In the digest of a relay, it sums up those of its data centre without
+	// the receiver.
+	Limits []Limit `cbor:"37,keyasint,omitempty"`
 	// Weight is the sender's weight in the choice of its data centre's keeper.
 	Weight int `cbor:"30,keyasint,omitempty"`
 
@@ -136,6 +140,20 @@
 	Run    int64 // 0 if not known
 }
 
+// Limit is the limit of a backend server on requests per second from all instances
+// together. Ages are in milliseconds.
+type Limit struct {
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	Run       int64 // 0 if not known
+	PerSecond float64
+	NamedAge  int64   // since an answer last named the limit
+	FreeAge   int64   // one more than the age of the last answer that named none; 0 if there was none
+	Sent      int     // requests that the instances sent lately
+	Demand    float64 // requests per second that they would send
+	Instances int     // that Sent and Demand are of
+}
+
 // Suspect is a part of prompts that may crash backend servers. Ages are in milliseconds.
 type Suspect struct {
 	_          struct{} `cbor:",toarray"`
--- a/internal/neighbour/keeper.go
+++ b/internal/neighbour/keeper.go
@@ -281,11 +281,13 @@
 	for _, e := range d.Echoes {
 		echoes[e.Instance] = e
 	}
-	sum := loadSum{}
+	sum, limits := loadSum{}, limitSum{}
 	sum.add(d.Load)
+	limits.add(d.Limits, 0)
 	for _, p := range x.peers {
 		if p.isRecent(now) && p.dataCentre == x.DataCentre && !p.isRelay(now) {
 			sum.add(p.lastDigest.Load)
+			limits.add(p.lastDigest.Limits, now.Sub(p.receivedAt)+p.lastDigest.BufferedFor)
 		}
 	}
 	relayed := x.relayed(now, x.seq)
@@ -293,7 +295,7 @@
 	for _, to := range targets {
 		p := x.peers[to]
 		one := d
-		one.Echoes, one.Load = nil, nil
+		one.Echoes, one.Load, one.Limits = nil, nil, limits.without(nil)
 		if p.dataCentre == x.DataCentre {
 			one.Relayed = relayed
 			if e, ok := echoes[p.instance]; ok {
@@ -301,6 +303,7 @@
 			}
 			if p.isRecent(now) && !p.isRelay(now) {
 				one.Load = sum.without(p.lastDigest.Load)
+				one.Limits = limits.without(p.lastDigest.Limits)
 			}
 		}
 		if one.Load == nil {
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -239,7 +239,7 @@
 }
 
 // acceptedDigests returns the last digest from an address and those that it relays,
-// without the loads that another digest has too.
+// without the loads and the use of limits that another digest has too.
 func (x *Exchanger) acceptedDigests(from netip.Addr) []Digest {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -249,7 +249,7 @@
 	}
 	d := p.lastDigest
 	if !x.countsLoads(d) {
-		d.Load = nil
+		d.Load, d.Limits = nil, withoutUse(d.Limits)
 	}
 	return append([]Digest{d}, d.Relayed...)
 }
--- a/internal/neighbour/relay.go
+++ b/internal/neighbour/relay.go
@@ -160,6 +160,9 @@
 		d := p.lastDigest
 		age := (now.Sub(p.receivedAt) + d.BufferedFor).Milliseconds()
 		d.ListAge, d.OperatorAge = d.ListAge+age, d.OperatorAge+age
+		aged := limitSum{}
+		aged.add(d.Limits, time.Duration(age)*time.Millisecond)
+		d.Limits = aged.without(nil)
 		d.Echoes, d.Relayed, d.BufferedFor = nil, nil, 0
 		if !d.Keeper {
 			d.PlacesVersion = 0
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,6 +19,7 @@
 	Refusals        *prometheus.CounterVec   // by reason
 	LostAnswers     *prometheus.CounterVec   // connections that ended without the whole answer to a request, by cause
 	Bars            *prometheus.CounterVec   // servers that said that they want no requests, by cause
+	Limits          *prometheus.CounterVec   // servers that began, changed or ended a limit on requests, by word
 	StoreCalls      *prometheus.CounterVec   // by call and outcome
 	StoreTime       *prometheus.HistogramVec // seconds, by call
 	Orders          *prometheus.CounterVec   // orders to workers, by operation and outcome
@@ -59,6 +60,7 @@
 	m.Refusals = counter("refusals_total", "Requests that were refused.", "reason")
 	m.LostAnswers = counter("lost_answers_total", "Connections of clients that ended without the whole answer to a request.", "cause")
 	m.Bars = counter("bars_total", "Times that a backend server began to get no requests by its own word.", "cause")
+	m.Limits = counter("server_limits_total", "Times that a backend server's answer began, changed or ended its limit on requests per second.", "word")
 	m.StoreCalls = counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
 	m.StoreTime = histogram("store_call_seconds", "Time of calls to the platform's store.", "call")
 	m.Orders = counter("orders_total", "Orders to workers.", "operation", "outcome")
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/ratelimit"
 )
 
 // Verdict is the outcome of offering a ticket.
@@ -26,12 +28,15 @@
 	Waiting    int           // waiting tickets for the same service and model
 	FreeSlots  int           // slots that are free at the places that can run the ticket
 	Places     int           // number of these places, also full ones
+	// Limit is what the server of Place named, for Run only; nil if it named none.
+	Limit *ratelimit.Limit
 }
 
 // Reasons of refusals.
 const (
 	ReasonNoPlace = "no place serves it"
 	ReasonResting = "all places asked for a rest"
+	ReasonLimited = "more requests than all places take by their limits"
 	ReasonFull    = "more waits than can be served in time"
 	ReasonExpired = "no place became free in time"
 )
@@ -71,6 +76,7 @@
 	meanRunTimes   map[serviceModel]time.Duration
 	firstEvents    map[serviceModel]*firstEventTimes
 	bars           map[string]bar // by ID of the server
+	limits         ratelimit.Table
 }
 
 // peerLoads holds the loads that a peer reported.
@@ -129,12 +135,13 @@
 	}
 }
 
-// DropPeerLoads forgets the loads that all peers reported.
+// DropPeerLoads forgets the loads that all peers reported, also those of limited servers.
 func (s *Scheduler) DropPeerLoads() {
 	clear(s.peers)
 	for _, p := range s.places {
 		p.peerLoad = Load{}
 	}
+	s.limits.DropPeers()
 }
 
 // addPeerLoads adds loads to those of the places, or removes them if sign is -1.
@@ -221,7 +228,8 @@
 		s.arrivals[k] = &arrivalRate{}
 	}
 	s.arrivals[k].add(now)
-	d := s.newDecision(k, t)
+	s.updateDemand(now, k)
+	d := s.newDecision(now, k, t)
 	openAt, open := s.openAgainAt(now, t)
 	switch {
 	case d.Places == 0, !open:
@@ -232,8 +240,10 @@
 		return d
 	}
 	if p := s.bestPlace(now, t); p != nil && !s.outranked(now, k, t) {
-		d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
-		s.assign(now, t, p)
+		return s.run(now, t, p, d)
+	}
+	if rate, limited := s.limitedRate(now, k, t); limited && !now.Add(secondsFor(d.Waiting, rate)).Before(t.LatestStart) {
+		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonLimited, boundedRetryAfter(secondsFor(d.Waiting+1, rate))
 		return d
 	}
 	limit := s.MaxWaiting
@@ -241,7 +251,7 @@
 		limit = DefaultMaxWaiting
 	}
 	if d.Waiting >= limit || !now.Before(t.LatestStart) {
-		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonFull, s.retryAfter(k)
+		d.Verdict, d.Reason, d.RetryAfter = Refuse, ReasonFull, s.retryAfter(now, k)
 		return d
 	}
 	t.waiting = true
@@ -258,10 +268,17 @@
 	if p == nil || s.outranked(now, k, t) {
 		return Decision{}, false
 	}
-	d := s.newDecision(k, t)
+	return s.run(now, t, p, s.newDecision(now, k, t)), true
+}
+
+// run makes a ticket run at a place and completes the decision on it.
+func (s *Scheduler) run(now time.Time, t *Ticket, p *placeState, d Decision) Decision {
 	d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
 	s.assign(now, t, p)
-	return d, true
+	if l, ok := s.limits.Limit(now, p.ID, p.Run, s.fleet()); ok {
+		d.Limit = &l
+	}
+	return d
 }
 
 // outranked reports whether a waiting ticket precedes t.
@@ -276,14 +293,14 @@
 
 // newDecision returns a decision that has only the numbers of waiting tickets, free
 // slots and places. It skips places that have failed the ticket.
-func (s *Scheduler) newDecision(k serviceModel, t *Ticket) Decision {
+func (s *Scheduler) newDecision(now time.Time, k serviceModel, t *Ticket) Decision {
 	d := Decision{Waiting: len(s.waiting[k])}
 	for _, p := range s.byServiceModel[k] {
 		if t != nil && t.tried(p.ID) {
 			continue
 		}
 		d.Places++
-		d.FreeSlots += max(p.Slots-p.running(), 0)
+		d.FreeSlots += max(int(s.capacity(now, p))-p.running(), 0)
 	}
 	return d
 }
@@ -294,19 +311,26 @@
 	var bestScore float64
 	spread := s.spread(now, t)
 	for _, p := range s.byServiceModel[serviceModel{t.Service, t.Model}] {
-		if !p.free() || now.Before(p.avoidUntil) || t.tried(p.ID) || !s.allowsCold(now, p) {
+		if t.tried(p.ID) || !s.admits(now, p) {
 			continue
 		}
-		if _, barred := s.barred(now, p); barred {
-			continue
-		}
-		if score := p.score(t, now) + p.bias(t, now, spread); best == nil || score < bestScore {
+		if score := p.score(t, now, s.capacity(now, p)) + p.bias(t, now, spread); best == nil || score < bestScore {
 			best, bestScore = p, score
 		}
 	}
 	return best
 }
 
+// admits reports whether a place takes a request now: it has a free slot, and neither its
+// server's words nor its results nor its cold start keep requests from it.
+func (s *Scheduler) admits(now time.Time, p *placeState) bool {
+	if !p.free() || now.Before(p.avoidUntil) || !s.allowsCold(now, p) {
+		return false
+	}
+	_, barred := s.barred(now, p)
+	return !barred && s.limits.Admits(now, p.ID, p.Run, s.fleet())
+}
+
 // allowsCold reports whether the rate limit of a place in cold start allows another
 // request now. It is true for places that are not in cold start.
 func (s *Scheduler) allowsCold(now time.Time, p *placeState) bool {
@@ -327,6 +351,7 @@
 	t.place, t.waiting, t.promptPending, t.placedAt = p, false, true, now
 	p.ownLoad.Running++
 	p.ownLoad.PromptTokens += t.PromptTokens
+	s.limits.Spend(now, p.ID)
 	if p.ColdRate > 0 && now.Before(p.ColdUntil) {
 		p.lastTurn = p.currentTurn(now, s.coldSchedule(p))
 	}
@@ -382,12 +407,15 @@
 }
 
 // Refusal returns the refusal for an expired ticket.
-func (s *Scheduler) Refusal(t *Ticket) Decision {
+func (s *Scheduler) Refusal(now time.Time, t *Ticket) Decision {
 	k := serviceModel{t.Service, t.Model}
-	d := s.newDecision(k, t)
-	d.Reason, d.RetryAfter = ReasonExpired, s.retryAfter(k)
-	if d.Places == 0 {
+	d := s.newDecision(now, k, t)
+	d.Reason, d.RetryAfter = ReasonExpired, s.retryAfter(now, k)
+	switch rate, limited := s.limitedRate(now, k, t); {
+	case d.Places == 0:
 		d.Reason = ReasonNoPlace
+	case limited:
+		d.Reason, d.RetryAfter = ReasonLimited, boundedRetryAfter(secondsFor(d.Waiting+1, rate))
 	}
 	return d
 }
@@ -505,15 +533,15 @@
 
 // RetryAfter returns the delay after which a refused client of a service and model
 // may retry.
-func (s *Scheduler) RetryAfter(service, model string) time.Duration {
-	return s.retryAfter(serviceModel{service, model})
+func (s *Scheduler) RetryAfter(now time.Time, service, model string) time.Duration {
+	return s.retryAfter(now, serviceModel{service, model})
 }
 
 // retryAfter estimates how long the places need for the waiting requests of all instances.
-func (s *Scheduler) retryAfter(k serviceModel) time.Duration {
-	slots := 0
+func (s *Scheduler) retryAfter(now time.Time, k serviceModel) time.Duration {
+	slots := 0.0
 	for _, p := range s.byServiceModel[k] {
-		slots += p.Slots
+		slots += s.capacity(now, p)
 	}
 	if slots == 0 {
 		return noPlaceRetryAfter
@@ -523,21 +551,25 @@
 		mean = defaultRunTime
 	}
 	instances := max(s.Instances, 1)
-	ahead := float64(len(s.waiting[k])*instances+1) / float64(slots)
+	ahead := float64(len(s.waiting[k])*instances+1) / slots
 	wait := time.Duration(ahead * float64(mean))
-	return min(max(wait+mean/2, minRetryAfter), maxRetryAfter)
+	return boundedRetryAfter(wait + mean/2)
+}
+
+func boundedRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // Utilization returns the share of the slots of a service and model that is in use, from 0
 // to 1. It is 1 if there are no slots.
-func (s *Scheduler) Utilization(service, model string) float64 {
-	running, slots := 0, 0
+func (s *Scheduler) Utilization(now time.Time, service, model string) float64 {
+	running, slots := 0, 0.0
 	for _, p := range s.byServiceModel[serviceModel{service, model}] {
 		running += p.running()
-		slots += p.Slots
+		slots += s.capacity(now, p)
 	}
 	if slots == 0 {
 		return 1
 	}
-	return float64(running) / float64(slots)
+	return min(float64(running)/slots, 1)
 }
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -63,9 +63,9 @@
 
 func (p *placeState) free() bool { return p.running() < p.Slots }
 
-// score returns the cost of running a ticket at the place; lower is better.
-func (p *placeState) score(t *Ticket, now time.Time) float64 {
-	score := float64(p.running()) / float64(max(p.Slots, 1))
+// score returns the cost of running a ticket at the place with a capacity; lower is better.
+func (p *placeState) score(t *Ticket, now time.Time, capacity float64) float64 {
+	score := float64(p.running()) / max(capacity, 1)
 	score += float64(p.promptTokens()) * promptTokenWeight
 	score += p.knownFailureShare(now) * failureWeight
 	if p.DataCentre != t.DataCentre {
