--- a/cmd/chicorystall/series_disturbance_test.go
+++ b/cmd/chicorystall/series_disturbance_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -93,6 +94,8 @@
 		s.silence(random, time.Duration(800+random.IntN(600))*time.Millisecond, false)
 	case silenceAll:
 		s.silence(random, time.Duration(800+random.IntN(600))*time.Millisecond, true)
+	case limitWorkers:
+		s.nameLimits(group, random, time.Duration(6000+random.IntN(6000))*time.Millisecond)
 	case harmWorkers:
 		s.harm(group, random, time.Duration(2000+random.IntN(4000))*time.Millisecond)
 	case harmAndRestartAll:
@@ -175,6 +178,47 @@
 	}
 }
 
+// nameLimits makes some workers name a limit for a while: all plain ones, or most heads. A
+// worker whose limit would overlap an earlier one keeps that.
+func (s *series) nameLimits(group *sync.WaitGroup, random *rand.Rand, d time.Duration) {
+	var limited []string
+	if random.IntN(2) == 0 {
+		for n := range seriesPlainWorkers {
+			limited = append(limited, fmt.Sprintf("d-%d", n))
+		}
+	} else {
+		for _, id := range s.fleet.OpenHeads("draft") {
+			if random.Float64() < 0.7 {
+				limited = append(limited, id)
+			}
+		}
+	}
+	limits := make([]seriesLimit, len(limited))
+	for n, id := range limited {
+		limits[n] = seriesLimit{worker: id, perSecond: []float64{0.5, 2, 3.3, 8}[random.IntN(4)]}
+	}
+	s.note("limits of %v for %v", limits, d)
+	group.Go(func() {
+		s.mu.Lock()
+		limits = slices.DeleteFunc(limits, func(l seriesLimit) bool { return s.limited[l.worker] })
+		for n := range limits {
+			limits[n].from = s.since()
+			s.limited[limits[n].worker] = true
+			s.fleet.SetLimit(limits[n].worker, fmt.Sprint(limits[n].perSecond))
+		}
+		s.mu.Unlock()
+		time.Sleep(d)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for n := range limits {
+			s.fleet.SetLimit(limits[n].worker, "")
+			limits[n].to = s.since()
+			delete(s.limited, limits[n].worker)
+		}
+		s.record.limits = append(s.record.limits, limits...)
+	})
+}
+
 // harm makes some workers break off their answers for a while.
 func (s *series) harm(group *sync.WaitGroup, random *rand.Rand, d time.Duration) {
 	harmed := []string{fmt.Sprintf("d-%d", random.IntN(seriesPlainWorkers))}
--- a/cmd/chicorystall/series_judge_test.go
+++ b/cmd/chicorystall/series_judge_test.go
@@ -31,6 +31,7 @@
 // seriesArrival is a request as a worker saw it.
 type seriesArrival struct {
 	request, service string
+	worker           string
 	at               time.Duration
 	ran              bool
 	outcome          groupworker.Outcome
@@ -52,9 +53,17 @@
 	arrivals []seriesArrival
 	stops    []seriesStop
 	troubles []seriesTrouble
+	limits   []seriesLimit
 	bounds   seriesBounds
 }
 
+// seriesLimit is a time in which a worker named the requests per second that it takes.
+type seriesLimit struct {
+	worker    string
+	perSecond float64
+	from, to  time.Duration
+}
+
 // seriesBounds are the bounds of the rules.
 type seriesBounds struct {
 	contact, grace, lossSlack, retryWindow time.Duration
@@ -81,6 +90,7 @@
 		r.judgeRequest(&v, q, arrivals[q.id])
 	}
 	r.judgeRetries(&v)
+	r.judgeLimits(&v)
 	return v
 }
 
@@ -175,3 +185,37 @@
 	to, _ := slices.BinarySearch(times, end+1)
 	return to - from
 }
+
+// judgeLimits compares the requests that a worker got while it named a limit with what that
+// allows, in each window that ends late enough. Those of instances that started lately, or
+// may not have heard of the limit yet, don't count.
+func (r *seriesRecord) judgeLimits(v *seriesVerdict) {
+	const window, heardAfter, excess, slack = 4 * time.Second, time.Second, 1.5, 5
+	instances := map[string]int{}
+	for _, q := range r.requests {
+		instances[q.id] = q.instance
+	}
+	for _, l := range r.limits {
+		var times []time.Duration
+		for _, a := range r.arrivals {
+			if a.worker == l.worker && a.at >= l.from+heardAfter && a.at < l.to && !r.stoppedLately(instances[a.request], a.at) {
+				times = append(times, a.at)
+			}
+		}
+		allowed := excess*window.Seconds()*l.perSecond + slack
+		for _, end := range times {
+			if n := countBetween(times, end-window, end); end >= l.from+r.bounds.contact && float64(n) > allowed {
+				v.broken = append(v.broken, fmt.Sprintf("LIMIT: worker %s got %d requests until %v, limit %v a second, allowed %.0f", l.worker, n, end, l.perSecond, allowed))
+				break
+			}
+		}
+	}
+}
+
+// stoppedLately reports whether an instance had a SIGTERM so lately that it may have
+// started again within contact.
+func (r *seriesRecord) stoppedLately(instance int, at time.Duration) bool {
+	return slices.ContainsFunc(r.stops, func(s seriesStop) bool {
+		return s.instance == instance && s.at <= at && at <= s.at+r.bounds.grace+2*r.bounds.contact
+	})
+}
--- a/cmd/chicorystall/series_process_test.go
+++ b/cmd/chicorystall/series_process_test.go
@@ -68,6 +68,7 @@
 
 	mu      sync.Mutex
 	record  seriesRecord
+	limited map[string]bool // workers that name a limit
 	config  seriesConfig
 	configs []sentConfig
 }
@@ -90,6 +91,7 @@
 	silenceAll
 	harmWorkers
 	harmAndRestartAll
+	limitWorkers
 )
 
 // seriesInstance is an entry instance, over the restarts of its process.
@@ -154,7 +156,7 @@
 	pid := os.Getpid()
 	s := &series{
 		t: t, g: g, random: rand.New(rand.NewPCG(seed, 0)), dir: *seriesLogs, program: built["chicorystall"], store: metastore.New(),
-		network: fmt.Sprintf("127.%d.%d", 30+pid/250%200, 1+pid%250), started: time.Now(), config: seriesConfig{timeout: seriesUsualTimeout},
+		network: fmt.Sprintf("127.%d.%d", 30+pid/250%200, 1+pid%250), started: time.Now(), config: seriesConfig{timeout: seriesUsualTimeout}, limited: map[string]bool{},
 	}
 	if s.dir == "" {
 		s.dir = t.TempDir()
@@ -168,13 +170,13 @@
 	case onlyPlannedWork:
 		s.kinds = []int{hangUp, hangUp, restartOne, restartOne, restartSome, changeConfig, changeConfig, flickerRoute, stormConfigs, silenceSome, silenceAll}
 	case mostlyRestarts:
-		s.kinds = []int{restartOne, restartSome, restartSome, harmWorkers, harmWorkers, silenceAll}
+		s.kinds = []int{restartOne, restartSome, restartSome, harmWorkers, harmWorkers, silenceAll, limitWorkers}
 	case restartsOfAll:
 		s.kinds, s.minInterval = []int{harmAndRestartAll}, 2*seriesRetryWindow
 		s.clients, s.routes = 5*seriesClients/2, []string{"draft"}
 		s.calm, s.minPeriod = seriesRetryWindow+2*time.Second, 900*time.Millisecond
 	default:
-		s.kinds = []int{hangUp, restartOne, restartSome, changeConfig, flickerRoute, stormConfigs, silenceSome, silenceAll, harmWorkers, harmWorkers}
+		s.kinds = []int{hangUp, restartOne, restartSome, changeConfig, flickerRoute, stormConfigs, silenceSome, silenceAll, harmWorkers, harmWorkers, limitWorkers, limitWorkers}
 	}
 	s.record.bounds = seriesBounds{
 		contact: seriesContact, grace: seriesGrace, lossSlack: seriesLossSlack, retryWindow: seriesRetryWindow, retryRatio: seriesRetryRatio, retrySlack: seriesRetrySlack,
@@ -315,7 +317,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.record.arrivals)
-	s.record.arrivals = append(s.record.arrivals, seriesArrival{request: a.Request, service: a.Service, at: s.since(), ran: a.Ran})
+	s.record.arrivals = append(s.record.arrivals, seriesArrival{request: a.Request, service: a.Service, worker: a.Worker, at: s.since(), ran: a.Ran})
 	return func(o groupworker.Outcome) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/cmd/chicorystall/series_test.go
+++ b/cmd/chicorystall/series_test.go
@@ -63,12 +63,20 @@
 		}
 		return found
 	}
+	limits := []seriesLimit{{worker: "w", perSecond: 1, from: second, to: 20 * second}}
+	limited := func(n int, at time.Duration) (found []seriesArrival) {
+		for i := range n {
+			found = append(found, seriesArrival{request: fmt.Sprint(i), worker: "w", at: at, outcome: groupworker.Completed})
+		}
+		return found
+	}
 	for _, test := range []struct {
 		name     string
 		requests []seriesRequest
 		arrivals []seriesArrival
 		stops    []seriesStop
 		troubles []seriesTrouble
+		limits   []seriesLimit
 		want     string // rule that is broken
 		unread   int
 	}{
@@ -108,10 +116,14 @@
 		{name: "as many repeats as allowed", requests: request(answered), arrivals: repeated(5, second, second/10)},
 		{name: "more repeats than allowed", requests: request(answered), arrivals: repeated(6, second, second/10), want: "BUDGET"},
 		{name: "as many repeats over more than a window", requests: request(answered), arrivals: repeated(6, second, 3*second)},
+		{name: "as many requests as a limit allows", requests: request(answered), arrivals: limited(11, 5*second), limits: limits},
+		{name: "more requests than a limit allows", requests: request(answered), arrivals: limited(12, 5*second), limits: limits, want: "LIMIT"},
+		{name: "more requests, before instances have heard of the limit", requests: request(answered), arrivals: limited(12, second+second/2), limits: limits},
+		{name: "more requests, of an instance that started again", requests: request(answered), arrivals: limited(12, 5*second), limits: limits, stops: []seriesStop{{at: 0}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
-			r := seriesRecord{requests: test.requests, arrivals: test.arrivals, stops: test.stops, troubles: test.troubles, bounds: bounds}
+			r := seriesRecord{requests: test.requests, arrivals: test.arrivals, stops: test.stops, troubles: test.troubles, limits: test.limits, bounds: bounds}
 			v := r.judge()
 			if test.want == "" {
 				g.Expect(v.broken).To(BeEmpty())
--- a/internal/fake/groupworker/fleet.go
+++ b/internal/fake/groupworker/fleet.go
@@ -83,6 +83,7 @@
 	endlessPart endless.Part // used with the faults Endless and EndlessControlAnswer
 	served      int          // requests that ran at this worker
 	silentUntil time.Time
+	limit       string // value of the header Server-Limit in answers to requests; empty for none
 }
 
 // Fault is a way in which a worker mishandles requests.
@@ -157,6 +158,14 @@
 	f.workers[id].fault = fault
 }
 
+// SetLimit makes a worker name the requests per second that it takes in its answers to
+// requests, as a decimal number. An empty text ends that.
+func (f *Fleet) SetLimit(id, perSecond string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].limit = perSecond
+}
+
 // Silence makes a worker send nothing for a while, and then go on.
 func (f *Fleet) Silence(id string, d time.Duration) {
 	f.mu.Lock()
--- a/internal/fake/groupworker/worker.go
+++ b/internal/fake/groupworker/worker.go
@@ -217,7 +217,10 @@
 	h := rw.Header()
 	id := r.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
-	status, fault := w.admitRequest(id, r.Header.Get("X-Expect-Instance"))
+	status, fault, limit := w.admitRequest(id, r.Header.Get("X-Expect-Instance"))
+	if limit != "" {
+		h.Set("Server-Limit", limit)
+	}
 	outcome := BrokenOff
 	if observe := w.fleet.OnArrival; observe != nil {
 		ended := observe(Arrival{Worker: w.ID, Service: w.Service, Request: id, Ran: status == http.StatusOK})
@@ -266,29 +269,29 @@
 	}
 }
 
-// admitRequest decides whether a request runs, and returns the HTTP status and the
-// fault to apply. It records a violation if the request runs in a group with the
+// admitRequest decides whether a request runs, and returns the HTTP status, the
+// fault to apply and the limit to name. It records a violation if the request runs in a group with the
 // wrong number of members.
-func (w *Worker) admitRequest(id, expected string) (int, Fault) {
+func (w *Worker) admitRequest(id, expected string) (status int, fault Fault, limit string) {
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case expected != "" && expected != w.ID:
-		return http.StatusMisdirectedRequest, None
+		return http.StatusMisdirectedRequest, None, w.limit
 	case w.fault == Refuse:
-		return http.StatusServiceUnavailable, None
+		return http.StatusServiceUnavailable, None, w.limit
 	case w.Domain == "":
 	case w.group == nil || w.group.rank != 0:
-		return http.StatusMisdirectedRequest, None
+		return http.StatusMisdirectedRequest, None, w.limit
 	case f.state(w) != "open":
-		return http.StatusServiceUnavailable, None
+		return http.StatusServiceUnavailable, None, w.limit
 	case len(w.group.members) != f.Sizes[w.group.model]:
 		f.addViolation("request %s ran in group %s, which has %d members", id, w.group.name, len(w.group.members))
 	}
 	f.runs[id]++
 	w.served++
-	return http.StatusOK, w.fault
+	return http.StatusOK, w.fault, w.limit
 }
 
 // stream writes numbered events, starting after the Last-Event-Id of the request. It
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -261,7 +261,7 @@
 	}
 	a.gateway.Metrics.Limits.WithLabelValues(limit.Word.String()).Inc()
 	a.gateway.Log.Info("server limit", telemetry.Fields{
-		"place": a.server.ID, "run": a.run, "word": limit.Word.String(), "per_second": limit.PerSecond, "request": a.call.ID,
+		"worker": a.server.ID, "run": a.run, "word": limit.Word.String(), "per_second": limit.PerSecond, "request": a.call.ID,
 	})
 }
 
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -45,6 +45,6 @@
 		perSecond[l.Server] = l.PerSecond
 	}
 	for _, server := range i.gateway.Places.MergeLimits(peer, reports) {
-		i.log.Info("server limit", telemetry.Fields{"place": server, "per_second": perSecond[server], "told_by": d.Instance})
+		i.log.Info("server limit", telemetry.Fields{"worker": server, "per_second": perSecond[server], "told_by": d.Instance})
 	}
 }
