position, platform, instance, listing: one order for what the store says, also after a restore

Cause: offsets were taken for the order of events. The copy ended before the known offsets, so the new version stood at an offset that every instance had read. Change: a Position holds era and offset and is what all of them compare. platform/ makes it from Store-Era, reads again from the newest records when the era of an answer is another one than that of the position, and refuses an answer of an earlier era. A copy has older records under later positions. Versions order configurations, so a lower one isn't taken across a restore; run and sequence number order a worker's entries, so an older state of one doesn't replace what is known, and a run that left stays so for five heartbeats, by which time the store has removed entries that nobody writes. An entry that the copy lacks is kept as a lapsed one. A data centre that the copy contradicts keeps its state for 4 s, as the operator writes again. Log 'store restored', fields era and offset, metrics store_era and store_restores_total.

--- a/internal/fake/metastore/store.go
+++ b/internal/fake/metastore/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -49,6 +50,7 @@
 	fault   Fault
 	calls   map[string]int
 	changed chan struct{} // closed and replaced at each append
+	era     int64         // named in all answers; 0 for a store that knows no eras
 }
 
 // topic is a topic with one partition. It retains the records from offset first on,
@@ -104,6 +106,37 @@
 	s.wakeReaders()
 }
 
+// Copy is what a store held at some time.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of what the store holds.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{topics: map[string]*topic{}}
+	for name, t := range s.topics {
+		c.topics[name] = t.clone()
+	}
+	return c
+}
+
+func (t *topic) clone() *topic {
+	return &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+}
+
+// Restore makes the store hold what a copy holds, and begins an era. Offsets after those of
+// the copy are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.topics = map[string]*topic{}
+	for name, t := range c.topics {
+		s.topics[name] = t.clone()
+	}
+	s.wakeReaders()
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -139,6 +172,7 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.calls[r.URL.Path]++
+	s.nameEra(w)
 	s.mu.Unlock()
 	switch {
 	case fault == Down:
@@ -165,6 +199,13 @@
 	}
 }
 
+// nameEra names the era in an answer. The caller holds the lock.
+func (s *Store) nameEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	}
+}
+
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, fault Fault) {
 	name := r.URL.Query().Get("topic")
 	if name == "keyed.op" || name == "keyed.servers" {
@@ -176,6 +217,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.nameEra(w)
 	offset := s.topic(name).end()
 	for len(body) >= 4 {
 		size := int(binary.BigEndian.Uint32(body))
@@ -213,12 +255,13 @@
 		s.mu.Lock()
 		t, changed := s.topic(query.Get("topic")), s.changed
 		first, end := t.first, t.end()
+		s.nameEra(w) // the store may have been restored while the call waited
 		var found []record
 		if from >= first {
 			found = slices.Clone(t.records[min(from-first, int64(len(t.records))):])
 		}
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]int64{"first": first})
 			return
@@ -262,6 +305,7 @@
 	}
 	after := r.URL.Query().Get("after")
 	s.mu.Lock()
+	s.nameEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	keys := make([]string, 0, len(t.newest))
 	for key := range t.newest {
--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -55,7 +55,7 @@
 		}
 		for _, p := range announcement.Places {
 			service, ok := l.Catalog.Service(p.Service)
-			if !ok || l.List.Refutes(p.ID, announcement.Statement) {
+			if !ok || l.List.Refutes(p.ID, p.Run, announcement.Statement) {
 				continue
 			}
 			p.ColdRate = service.ColdRate
--- a/internal/instance/departure_test.go
+++ b/internal/instance/departure_test.go
@@ -12,6 +12,7 @@
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/listing"
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
@@ -63,7 +64,7 @@
 }
 
 // announce delivers a digest of a data centre's keeper to the instance.
-func (b *testBed) announce(dataCentre string, end int64, age time.Duration, ids ...string) {
+func (b *testBed) announce(dataCentre string, end position.Position, age time.Duration, ids ...string) {
 	b.onDigest(neighbour.Digest{
 		Instance: "keeper-" + dataCentre, DataCentre: dataCentre, Keeper: true,
 		ListAge: age.Milliseconds(), ListEnd: end, Places: deskPlaces(ids),
@@ -79,18 +80,18 @@
 }
 
 // readList applies a read of records up to an offset to the instance.
-func (b *testBed) readList(end int64, resumed bool, records ...Record) {
+func (b *testBed) readList(end position.Position, resumed bool, records ...Record) {
 	b.state.applyWorkers(batch{
 		records: records, full: !b.listRead, caughtUp: true, began: b.now, ended: b.now, resumed: resumed, end: end,
 	})
 	b.listRead = true
 }
 
-func entryOf(id, value string, offset int64) Record {
+func entryOf(id, value string, offset position.Position) Record {
 	return Record{Key: id, Value: []byte(value), Offset: offset}
 }
 
-func removal(id string, offset int64) Record { return Record{Key: id, Offset: offset} }
+func removal(id string, offset position.Position) Record { return Record{Key: id, Offset: offset} }
 
 // If only this instance lost the store, the workers could still write their entries.
 // An entry that was removed meanwhile did not lapse and must not be kept.
--- a/internal/instance/late_test.go
+++ b/internal/instance/late_test.go
@@ -13,6 +13,7 @@
 	"github.com/chicorystall/chicorystall/internal/neighbour"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/retry"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
@@ -227,7 +228,7 @@
 				}
 				var records []Record
 				for _, s := range list {
-					records = append(records, Record{Key: s.ID, Value: []byte("entry"), Offset: int64(n + 1)})
+					records = append(records, Record{Key: s.ID, Value: []byte("entry"), Offset: position.Position(n + 1)})
 				}
 				i.state.applyWorkers(batch{records: records, full: true})
 			}
@@ -248,7 +249,7 @@
 	read := make(chan bool)
 	go func() {
 		defer close(read)
-		for n := int64(1); n <= lists; n++ {
+		for n := position.Position(1); n <= lists; n++ {
 			i.state.applyWorkers(batch{
 				records: []Record{{Key: "w", Value: []byte{byte(n >> 8), byte(n)}, Offset: n}}, ended: time.Duration(n),
 			})
@@ -284,7 +285,7 @@
 		defer close(read)
 		for n := 1; n <= lists; n++ {
 			began[n] = time.Now()
-			i.state.applyWorkers(batch{records: []Record{{Key: "w", Value: []byte{byte(n >> 8), byte(n)}, Offset: int64(n)}}})
+			i.state.applyWorkers(batch{records: []Record{{Key: "w", Value: []byte{byte(n >> 8), byte(n)}, Offset: position.Position(n)}}})
 		}
 		began[lists+1] = time.Now()
 	}()
--- a/internal/instance/merge_test.go
+++ b/internal/instance/merge_test.go
@@ -12,6 +12,7 @@
 	"github.com/chicorystall/chicorystall/internal/neighbour"
 	"github.com/chicorystall/chicorystall/internal/oracle"
 	"github.com/chicorystall/chicorystall/pkg/listing"
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 const (
@@ -27,11 +28,11 @@
 type simulatedWorker struct {
 	id, dataCentre string
 	listed         bool
-	left           bool          // removed or draining by its owner
-	leftAt         time.Duration // when the store acknowledged its last record
-	leftOffset     int64         // offset of that record
-	relistAt       time.Duration // when it writes its entry again after a lapse; 0 means never
-	learntAt       time.Duration // when the instance could know that it left; 0 means not yet
+	left           bool              // removed or draining by its owner
+	leftAt         time.Duration     // when the store acknowledged its last record
+	leftOffset     position.Position // offset of that record
+	relistAt       time.Duration     // when it writes its entry again after a lapse; 0 means never
+	learntAt       time.Duration     // when the instance could know that it left; 0 means not yet
 }
 
 func (sw *simulatedWorker) learn(at time.Duration) {
@@ -42,8 +43,8 @@
 
 // reader is the state of an instance that reads the store.
 type reader struct {
-	next           int64 // offset of the next read; 0 before the first
-	followedFrom   int64 // offset from which on it has followed the store
+	next           position.Position // offset of the next read; 0 before the first
+	followedFrom   position.Position // offset from which on it has followed the store
 	readAt         time.Duration
 	disconnected   bool
 	failed         bool
@@ -61,11 +62,11 @@
 	records        []Record // the store's records; the index is the offset
 	downAt         time.Duration
 	isDown         bool
-	backAt         time.Duration // end of the store's last outage in which entries lapsed
-	lapsed         int           // number of entries that lapsed in it
-	settledEnd     int64         // end of records when most of them had been written again
-	lastAnswer     time.Duration // last answer of the store, to any instance, that this instance knows about
-	graceEnd       time.Duration // time until which removals that it reads may be lapses
+	backAt         time.Duration     // end of the store's last outage in which entries lapsed
+	lapsed         int               // number of entries that lapsed in it
+	settledEnd     position.Position // end of records when most of them had been written again
+	lastAnswer     time.Duration     // last answer of the store, to any instance, that this instance knows about
+	graceEnd       time.Duration     // time until which removals that it reads may be lapses
 	keepers        map[string]*reader
 	own            reader
 	suspendedSteps int              // remaining steps of the instance's suspension
@@ -109,13 +110,13 @@
 	}
 }
 
-func (w *mergeWorld) append(id, value string) int64 {
-	w.records = append(w.records, Record{Key: id, Value: []byte(value), Offset: int64(len(w.records))})
-	return int64(len(w.records) - 1)
+func (w *mergeWorld) append(id, value string) position.Position {
+	w.records = append(w.records, Record{Key: id, Value: []byte(value), Offset: position.Position(len(w.records))})
+	return position.Position(len(w.records) - 1)
 }
 
 // newest returns the newest record of each key before an offset.
-func (w *mergeWorld) newest(end int64) map[string]Record {
+func (w *mergeWorld) newest(end position.Position) map[string]Record {
 	records := map[string]Record{}
 	for _, r := range w.records[1:end] {
 		records[r.Key] = r
@@ -210,7 +211,7 @@
 		}
 	}
 	if w.settledEnd == math.MaxInt64 && 2*missing < w.lapsed {
-		w.settledEnd = int64(len(w.records))
+		w.settledEnd = position.Position(len(w.records))
 	}
 }
 
@@ -221,11 +222,11 @@
 		if !k.disconnected && !w.isDown && !w.chance(4, "keeper is slow") {
 			switch {
 			case k.next == 0:
-				k.followedFrom = int64(len(w.records))
+				k.followedFrom = position.Position(len(w.records))
 			case w.now-k.readAt >= lapseHeartbeats*testHeartbeat:
-				k.followedFrom, k.noDigestsUntil = int64(len(w.records)), w.now+lapseGrace
+				k.followedFrom, k.noDigestsUntil = position.Position(len(w.records)), w.now+lapseGrace
 			}
-			k.next, k.readAt = int64(len(w.records)), w.now
+			k.next, k.readAt = position.Position(len(w.records)), w.now
 		}
 		if k.next == 0 || w.now < k.noDigestsUntil || w.now-k.readAt >= minRelayAge {
 			continue
@@ -345,7 +346,7 @@
 		w.own.failed = true
 		return
 	}
-	end := int64(len(w.records))
+	end := position.Position(len(w.records))
 	b := &batch{full: w.own.next == 0, caughtUp: true, began: w.now, resumed: w.own.failed, end: end}
 	if b.full {
 		for _, r := range w.newest(end) {
--- a/internal/instance/platform.go
+++ b/internal/instance/platform.go
@@ -10,6 +10,7 @@
 	"github.com/chicorystall/chicorystall/internal/keeper"
 	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/formation"
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
@@ -50,18 +51,18 @@
 	Name string // for logs
 	// Newest returns the newest record of each key, and the offset at which Read
 	// continues without missing a record.
-	Newest func(ctx context.Context) (records []Record, next int64, err error)
+	Newest func(ctx context.Context) (records []Record, next position.Position, err error)
 	// Read returns the records from an offset on. If there is none yet, it waits
 	// for the first. caughtUp is false if the store already has further records. The
 	// error is ErrTrimmed if some of the records have been deleted.
-	Read func(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, caughtUp bool, err error)
+	Read func(ctx context.Context, from position.Position, wait time.Duration) (records []Record, next position.Position, caughtUp bool, err error)
 }
 
 // Record is a record of a feed. A record without a value removes its key.
 type Record struct {
 	Key    string
 	Value  []byte
-	Offset int64
+	Offset position.Position
 }
 
 // ErrTrimmed reports that requested records have been deleted.
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -168,6 +168,7 @@
 	}
 	i.state = NewState(i.platform, settings, i.log, i.isKeeper, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
 		func() int { return i.exchanger.ProcessCount() }, func() { i.rebuildPlaces() })
+	i.state.onRestore = func() { i.metrics.StoreRestores.WithLabelValues().Inc() }
 	i.exchanger = &neighbour.Exchanger{
 		Instance: settings.Name, DataCentre: settings.DataCentre, DataCentres: settings.DataCentres,
 		Listen: settings.NeighbourAddress, Started: i.started, Weight: i.weight(),
@@ -220,6 +221,10 @@
 	i.metrics.Gauge("config_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return i.state.View().Age().Seconds()
 	})
+	i.metrics.Gauge("store_era", "Era of the store in which the operator's records were last read.", func() float64 {
+		end, _ := i.state.OperatorProgress()
+		return float64(end.Era())
+	})
 	i.metrics.Gauge("counted_processes", "Processes among which this one divides the retry allowance and the rate of cold places.", func() float64 {
 		return float64(i.exchanger.ProcessCount())
 	})
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -10,7 +10,9 @@
 	"github.com/chicorystall/chicorystall/internal/gateway"
 	"github.com/chicorystall/chicorystall/internal/neighbour"
 	"github.com/chicorystall/chicorystall/internal/telemetry"
+	"github.com/chicorystall/chicorystall/pkg/catalog"
 	"github.com/chicorystall/chicorystall/pkg/listing"
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 const (
@@ -59,6 +61,14 @@
 	// lapseGrace is how long after an outage of the store the entries that lapsed
 	// during it are kept, so that their workers can write them again.
 	lapseGrace = 2 * time.Second
+	// restoreGrace is how long after a restore of the store what it says of data centres is
+	// not believed against what was known before. It is below the time within which requests
+	// to a data centre that is taken out must stop.
+	restoreGrace = 4 * time.Second
+	// restoreHeartbeats is the time after a restore of the store, in heartbeats, after which
+	// it has removed the entries of workers that don't write any more. An entry lapses after
+	// three heartbeats.
+	restoreHeartbeats = 5
 	// lapseHeartbeats is the shortest outage of the store, in heartbeats, in which the
 	// entry of a running worker can lapse. An entry lapses after three heartbeats, and
 	// up to one may have passed since the last write when the outage begins.
@@ -77,21 +87,25 @@
 	processes      func() int  // number of known instances
 	relayAge       time.Duration
 	news           chan struct{} // receives when a keeper has read records that this instance has not
+	onRestore      func()        // if not nil, called after the first read of the operator's records since the store was restored
 	// clock is boottime.Now, except in tests.
 	clock func() time.Duration
 
 	mu              sync.Mutex
 	view            gateway.View
-	operatorOffsets map[string]int64 // offset of the newest decoded operator's record, by key
-	unreadable      map[string]int64 // offset of an operator's record that can't be decoded, by key, until a newer one can
-	takenOut        map[string]bool  // data centres that are taken out of service
-	operatorEnd     int64            // offset before which all operator's records are known
-	operatorProof   time.Duration    // start of this instance's own read which showed that there were no others
-	relayedEnd      int64            // highest operatorEnd received from a keeper
-	relayedProof    time.Duration    // earliest time at which a keeper may have read that end
-	list            listing.List     // workers' entries
-	listReadAt      time.Time        // time of the last read of the workers' entries
-	storeReachable  map[string]bool  // whether the last call succeeded, by feed
+	configOffset    position.Position            // of the configuration in force
+	operatorOffsets map[string]position.Position // of the newest decoded operator's record, by key
+	unreadable      map[string]position.Position // of an operator's record that can't be decoded, by key, until a newer one can
+	takenOut        map[string]bool              // data centres that are taken out of service
+	restored        restoredDataCentres          // what the store says against takenOut since it was restored
+	operatorEra     int64                        // era of the last read of the operator's records
+	operatorEnd     position.Position            // before which all operator's records are known
+	operatorProof   time.Duration                // start of this instance's own read which showed that there were no others
+	relayedEnd      position.Position            // highest operatorEnd received from a keeper
+	relayedProof    time.Duration                // earliest time at which a keeper may have read that end
+	list            listing.List                 // workers' entries
+	listReadAt      time.Time                    // time of the last read of the workers' entries
+	storeReachable  map[string]bool              // whether the last call succeeded, by feed
 }
 
 // NewState returns an empty state. WatchOperator and WatchWorkers keep it up to date.
@@ -100,9 +114,9 @@
 		platform: platform, log: log, isKeeper: isKeeper, repairing: repairing, workersRelayed: workersRelayed, processes: processes, onChange: onChange,
 		clock: boottime.Now, relayAge: settings.relayAge(), news: make(chan struct{}, 1),
 		list: listing.New(listing.Rules{
-			OutageThreshold: lapseHeartbeats * settings.HeartbeatInterval, Grace: lapseGrace, MaxAnnouncementAge: settings.relayAge(), AgeTolerance: neighbour.Interval,
+			OutageThreshold: lapseHeartbeats * settings.HeartbeatInterval, Grace: lapseGrace, RestoreGrace: restoreHeartbeats * settings.HeartbeatInterval, MaxAnnouncementAge: settings.relayAge(), AgeTolerance: neighbour.Interval,
 		}),
-		operatorOffsets: map[string]int64{}, unreadable: map[string]int64{}, takenOut: map[string]bool{}, storeReachable: map[string]bool{},
+		operatorOffsets: map[string]position.Position{}, unreadable: map[string]position.Position{}, takenOut: map[string]bool{}, storeReachable: map[string]bool{},
 	}
 }
 
@@ -117,6 +131,7 @@
 func (s *State) TakenOut(dataCentre string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.believeRestored()
 	return s.takenOut[dataCentre]
 }
 
@@ -158,7 +173,7 @@
 // at an offset. The keeper's read began no earlier than proof, on the clock of
 // package boottime. If this instance knows all these records too, its configuration
 // is proved to be the newest at that time.
-func (s *State) ApplyKeeperProof(end int64, proof time.Duration) {
+func (s *State) ApplyKeeperProof(end position.Position, proof time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relayedEnd = max(s.relayedEnd, end)
@@ -176,7 +191,7 @@
 
 // OperatorProgress returns the offset before which all operator's records are known,
 // and the start of this instance's read which showed that there were no others.
-func (s *State) OperatorProgress() (end int64, proof time.Duration) {
+func (s *State) OperatorProgress() (end position.Position, proof time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.operatorEnd, s.operatorProof
@@ -186,11 +201,20 @@
 // records that are older than the newest known one of their key, so that nothing is
 // undone. A record that can't be decoded may be newer than the configuration in
 // force. Until a newer record of its key is decoded, reads prove nothing.
+//
+// The first read after the store was restored from a copy may return older records than
+// those that are known. A configuration of a lower version is never taken then, since the
+// operator writes again what was lost.
 func (s *State) applyOperator(b batch) {
 	s.mu.Lock()
+	restored := len(s.operatorOffsets) > 0 && b.end.Era() > s.operatorEra
+	knownEra := s.operatorEra
+	s.operatorEra = b.end.Era()
+	s.believeRestored()
 	changed := false
 	if b.full {
-		changed = s.restoreDataCentres(b.records)
+		changed = s.restoreDataCentres(b.records, restored)
+		s.forgetUnreadable(b.records)
 	}
 	for _, r := range b.records {
 		if newest, known := s.operatorOffsets[r.Key]; known && r.Offset <= newest {
@@ -199,43 +223,116 @@
 		decoded, err := s.platform.DecodeOperatorRecord(r)
 		switch {
 		case err != nil:
-			s.log.Warn("operator's record can't be read", telemetry.Fields{"key": r.Key, "offset": r.Offset, "error": err.Error()})
+			s.log.Warn("operator's record can't be read", recordFields(r, telemetry.Fields{"key": r.Key, "error": err.Error()}))
 			s.unreadable[r.Key] = max(s.unreadable[r.Key], r.Offset)
 			continue
+		case decoded.Catalog != nil && s.isOutdated(decoded.Catalog, r.Offset):
+			s.log.Warn("older configuration is not taken", recordFields(r, telemetry.Fields{
+				"version": decoded.Catalog.Version(), "in_force": s.view.Catalog.Version(),
+			}))
 		case decoded.Catalog != nil:
-			s.view.Catalog = decoded.Catalog
+			s.view.Catalog, s.configOffset = decoded.Catalog, r.Offset
 			changed = true
-			s.log.Info("configuration in force", telemetry.Fields{"version": decoded.Catalog.Version(), "offset": r.Offset})
+			s.log.Info("configuration in force", recordFields(r, telemetry.Fields{"version": decoded.Catalog.Version()}))
+		case decoded.DataCentre != "" && restored && decoded.TakenOut != s.takenOut[decoded.DataCentre]:
+			s.doubt(decoded.DataCentre, decoded.TakenOut)
 		case decoded.DataCentre != "":
 			s.takenOut[decoded.DataCentre] = decoded.TakenOut
+			delete(s.restored.takenOut, decoded.DataCentre)
 			changed = true
-			s.log.Info("data centre", telemetry.Fields{"data_centre": decoded.DataCentre, "taken_out": decoded.TakenOut, "offset": r.Offset})
+			s.log.Info("data centre", recordFields(r, telemetry.Fields{"data_centre": decoded.DataCentre, "taken_out": decoded.TakenOut}))
 		}
 		s.operatorOffsets[r.Key] = r.Offset
 		if s.unreadable[r.Key] < r.Offset {
 			delete(s.unreadable, r.Key)
 		}
 	}
+	if restored {
+		s.log.Warn("store restored", telemetry.Fields{
+			"topic": s.platform.OperatorFeed.Name, "era": b.end.Era(), "known_era": knownEra, "end": b.end.Offset(), "known_end": s.operatorEnd.Offset(), "records": len(b.records),
+		})
+	}
 	if b.caughtUp && len(s.unreadable) == 0 {
 		s.operatorEnd, s.operatorProof = b.end, b.began
 		s.view.ConfirmedAt = max(s.view.ConfirmedAt, b.began)
 	}
 	s.mu.Unlock()
+	if restored && s.onRestore != nil {
+		s.onRestore()
+	}
 	if changed {
 		s.onChange()
 	}
 }
 
+// isOutdated reports whether a configuration is older than the one in force although its
+// record comes later, as the store was restored in between.
+func (s *State) isOutdated(c *catalog.Catalog, offset position.Position) bool {
+	return s.view.Catalog != nil && c.Version() < s.view.Catalog.Version() && offset.Era() > s.configOffset.Era()
+}
+
+// recordFields adds the place of a record to the fields of a log line.
+func recordFields(r Record, fields telemetry.Fields) telemetry.Fields {
+	fields["era"], fields["offset"] = r.Offset.Era(), r.Offset.Offset()
+	return fields
+}
+
+// forgetUnreadable forgets the records that could not be decoded and whose keys the store
+// no longer has.
+func (s *State) forgetUnreadable(records []Record) {
+	for key := range s.unreadable {
+		if !slices.ContainsFunc(records, func(r Record) bool { return r.Key == key }) {
+			delete(s.unreadable, key)
+		}
+	}
+}
+
+// restoredDataCentres is what a restored store says about data centres, until it is
+// believed.
+type restoredDataCentres struct {
+	takenOut map[string]bool
+	until    time.Duration
+}
+
+// doubt records that a restored store contradicts what was known of a data centre. The
+// operator may write the newer record again.
+func (s *State) doubt(dataCentre string, takenOut bool) {
+	if s.restored.takenOut == nil {
+		s.restored.takenOut = map[string]bool{}
+	}
+	s.restored.takenOut[dataCentre] = takenOut
+	s.restored.until = s.clock() + restoreGrace
+	s.log.Info("restored store contradicts a data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": takenOut, "known": s.takenOut[dataCentre]})
+}
+
+// believeRestored takes what the restored store says of data centres once restoreGrace has
+// passed. The caller holds the lock.
+func (s *State) believeRestored() {
+	if len(s.restored.takenOut) == 0 || s.clock() < s.restored.until {
+		return
+	}
+	for dataCentre, takenOut := range s.restored.takenOut {
+		s.takenOut[dataCentre] = takenOut
+		s.log.Info("data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": takenOut})
+	}
+	clear(s.restored.takenOut)
+}
+
 // restoreDataCentres puts data centres back into service whose key is no longer in
-// the store, and reports whether there were any.
-func (s *State) restoreDataCentres(records []Record) bool {
+// the store, and reports whether there were any. If the store was restored, it only
+// doubts that they are out of service.
+func (s *State) restoreDataCentres(records []Record, storeRestored bool) bool {
 	changed := false
 	for dataCentre, takenOut := range s.takenOut {
 		gone := !slices.ContainsFunc(records, func(r Record) bool {
 			decoded, err := s.platform.DecodeOperatorRecord(r)
 			return err == nil && decoded.DataCentre == dataCentre
 		})
-		if takenOut && gone {
+		switch {
+		case !takenOut || !gone:
+		case storeRestored:
+			s.doubt(dataCentre, false)
+		default:
 			s.takenOut[dataCentre] = false
 			changed = true
 			s.log.Info("data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": false})
--- a/internal/instance/state_test.go
+++ b/internal/instance/state_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chicorystall/chicorystall/pkg/catalog"
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
@@ -31,7 +32,7 @@
 	return NewState(platform, Settings{HeartbeatInterval: testHeartbeat}, nil, never, never, never, func() int { return 1 }, onChange)
 }
 
-func config(version int64, offset int64) []Record {
+func config(version int64, offset position.Position) []Record {
 	return []Record{{Key: "config", Value: strconv.AppendInt(nil, version, 10), Offset: offset}}
 }
 
--- a/internal/instance/usable.go
+++ b/internal/instance/usable.go
@@ -44,7 +44,7 @@
 	switch {
 	case u.lines < maxUsabilityLines:
 		log.Info(event, telemetry.Fields{
-			"worker": worker, "data_centre": dataCentre, "source": by.Source.String(), "from": by.From, "end": by.End,
+			"worker": worker, "data_centre": dataCentre, "source": by.Source.String(), "from": by.From, "era": by.End.Era(), "end": by.End.Offset(),
 			"age_ms": (now - by.At).Milliseconds(),
 		})
 	case u.lines == maxUsabilityLines:
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -8,17 +8,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chicorystall/chicorystall/internal/telemetry"
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 // batch is the result of one read of a feed.
 type batch struct {
 	records  []Record
-	full     bool          // has the newest record of each key; keys without one were removed
-	caughtUp bool          // the store had no further records
-	began    time.Duration // start of the read, on the clock of package boottime
-	ended    time.Duration // earliest time of the store's answer, on the same clock
-	resumed  bool          // the previous read failed
-	end      int64         // offset before which all records of the feed are known
+	full     bool              // has the newest record of each key; keys without one were removed
+	caughtUp bool              // the store had no further records
+	began    time.Duration     // start of the read, on the clock of package boottime
+	ended    time.Duration     // earliest time of the store's answer, on the same clock
+	resumed  bool              // the previous read failed
+	end      position.Position // before which all records of the feed are known
 }
 
 // watcher follows one feed.
@@ -36,7 +37,7 @@
 // of each key, and does so again whenever the store has deleted records that were
 // not read yet.
 func (s *State) watch(ctx context.Context, w watcher) error {
-	next := int64(-1)
+	next := position.Position(-1)
 	pause, failed := retryPause, false
 	pacing := pacer{}
 	for ctx.Err() == nil {
--- a/internal/instance/watch_test.go
+++ b/internal/instance/watch_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 // A store that answers each call at once without records must not cause a busy loop.
@@ -18,11 +20,11 @@
 	for _, c := range []struct {
 		name  string
 		calls int // calls in each round
-		read  func(from int64) (caughtUp bool, err error)
+		read  func(from position.Position) (caughtUp bool, err error)
 	}{
-		{"reads that don't wait", 1, func(int64) (bool, error) { return true, nil }},
-		{"reads that say there is more", 1, func(int64) (bool, error) { return false, nil }},
-		{"records are deleted again and again", 2, func(int64) (bool, error) { return false, ErrTrimmed }},
+		{"reads that don't wait", 1, func(position.Position) (bool, error) { return true, nil }},
+		{"reads that say there is more", 1, func(position.Position) (bool, error) { return false, nil }},
+		{"records are deleted again and again", 2, func(position.Position) (bool, error) { return false, ErrTrimmed }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -37,8 +39,8 @@
 				}
 				s := newState(func() {})
 				s.platform.OperatorFeed = Feed{
-					Newest: func(context.Context) ([]Record, int64, error) { count(); return nil, 7, nil },
-					Read: func(_ context.Context, from int64, _ time.Duration) ([]Record, int64, bool, error) {
+					Newest: func(context.Context) ([]Record, position.Position, error) { count(); return nil, 7, nil },
+					Read: func(_ context.Context, from position.Position, _ time.Duration) ([]Record, position.Position, bool, error) {
 						count()
 						caughtUp, err := c.read(from)
 						return nil, from, caughtUp, err
--- a/internal/instance/workers.go
+++ b/internal/instance/workers.go
@@ -87,7 +87,7 @@
 		if !record.Removed {
 			server, err := s.platform.DecodeServer(r.Key, r.Value, now)
 			if err != nil {
-				s.log.Debug("entry names no worker", telemetry.Fields{"offset": r.Offset, "error": err.Error()})
+				s.log.Debug("entry names no worker", recordFields(r, telemetry.Fields{"error": err.Error()}))
 			}
 			record.Server, record.Removed = server, err != nil
 		}
@@ -108,7 +108,7 @@
 func (s *State) logChanges(changes []listing.Change) {
 	for _, c := range changes {
 		fields := telemetry.Fields{
-			"worker": c.Server.ID, "offset": c.Offset, "source": c.By.Source.String(), "from": c.By.From, "end": c.By.End,
+			"worker": c.Server.ID, "era": c.Offset.Era(), "offset": c.Offset.Offset(), "source": c.By.Source.String(), "from": c.By.From, "end": c.By.End.Offset(),
 			"age_ms": (s.clock() - c.By.At).Milliseconds(),
 		}
 		if c.Event == listing.Seen {
@@ -118,7 +118,7 @@
 			continue
 		}
 		fields["group"], fields["reason"] = c.Server.Membership.Group, c.Event.String()
-		if c.Event == listing.Lapsed {
+		if c.Event == listing.Lapsed || c.Event == listing.Withheld {
 			s.log.Info("worker kept", fields)
 			continue
 		}
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 // digestVersion is the version of the encoding. It changes when older releases
@@ -41,10 +43,10 @@
 	ListAge int64 `cbor:"19,keyasint,omitempty"`
 	// ListEnd is the offset up to which the keeper had read the list. Older releases
 	// leave it 0.
-	ListEnd int64 `cbor:"21,keyasint,omitempty"`
+	ListEnd position.Position `cbor:"21,keyasint,omitempty"`
 	// ListSince is the offset from which on the keeper has followed the list without
 	// losing the store. Older releases leave it 0.
-	ListSince int64 `cbor:"22,keyasint,omitempty"`
+	ListSince position.Position `cbor:"22,keyasint,omitempty"`
 	// Gone lists the workers of any data centre that, according to the records that
 	// the keeper read lately, have left or are draining.
 	Gone []Gone `cbor:"23,keyasint,omitempty"`
@@ -61,9 +63,9 @@
 	// OperatorEnd is the offset up to which the sender has read the operator's
 	// records. OperatorAge is the time in milliseconds since it began the read that
 	// found no further records.
-	OperatorEnd int64  `cbor:"15,keyasint,omitempty"`
-	OperatorAge int64  `cbor:"16,keyasint,omitempty"`
-	Echoes      []Echo `cbor:"17,keyasint,omitempty"`
+	OperatorEnd position.Position `cbor:"15,keyasint,omitempty"`
+	OperatorAge int64             `cbor:"16,keyasint,omitempty"`
+	Echoes      []Echo            `cbor:"17,keyasint,omitempty"`
 	// Relay is set by the relay of a data centre. Its digest is for all instances there
 	// that it hears: Load is the sum of theirs without the receiver's, and the lists of
 	// heads hold what any of them observed.
@@ -179,7 +181,7 @@
 type Gone struct {
 	_        struct{} `cbor:",toarray"`
 	Server   string
-	Offset   int64 // of the record that says so
+	Offset   position.Position // of the record that says so
 	Draining bool
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,6 +22,7 @@
 	Limits          *prometheus.CounterVec   // servers that began, changed or ended a limit on requests, by word
 	StoreCalls      *prometheus.CounterVec   // by call and outcome
 	StoreTime       *prometheus.HistogramVec // seconds, by call
+	StoreRestores   *prometheus.CounterVec   // times that the store was found restored from a copy
 	Orders          *prometheus.CounterVec   // orders to workers, by operation and outcome
 	Probes          *prometheus.CounterVec   // requests for a worker's report, by outcome
 	Dials           *prometheus.CounterVec   // connections to backend servers, by outcome
@@ -62,6 +63,7 @@
 	m.Bars = counter("bars_total", "Times that a backend server began to get no requests by its own word.", "cause")
 	m.Limits = counter("server_limits_total", "Times that a backend server's answer began, changed or ended its limit on requests per second.", "word")
 	m.StoreCalls = counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
+	m.StoreRestores = counter("store_restores_total", "Times that the store was found restored from a copy.")
 	m.StoreTime = histogram("store_call_seconds", "Time of calls to the platform's store.", "call")
 	m.Orders = counter("orders_total", "Orders to workers.", "operation", "outcome")
 	m.Probes = counter("probes_total", "Requests for a worker's report.", "outcome")
--- a/pkg/listing/edit.go
+++ b/pkg/listing/edit.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
@@ -36,7 +37,8 @@
 
 // removal is the removal of a server's entry by its newest record.
 type removal struct {
-	offset        int64
+	offset        position.Position
+	missing       bool // there is no such record, the entry is not in the list that was read
 	afterRecovery bool // before it, this server or most of the lapsed ones had registered again
 }
 
@@ -68,7 +70,7 @@
 	}
 	for id, e := range d.list.entries {
 		if _, ok := newest[id]; b.Full && !ok && !e.lapsed {
-			removals[id] = removal{offset: b.End - 1} // the latest possible offset
+			removals[id] = removal{offset: d.latestRemoval(b.End), missing: true}
 			d.list.removedSinceOutage++
 		}
 	}
@@ -77,21 +79,36 @@
 		if r.Removed || known && r.Offset <= old.offset {
 			continue
 		}
+		if known && !old.lapsed && isCopyOf(old, r) {
+			old.offset = r.Offset
+			d.list.entries[id] = old
+			continue
+		}
 		if g, announced := d.list.announced[id]; announced && r.Offset < g.Offset {
 			if !g.Draining {
 				continue
 			}
 			r.Server.Draining = true
 		}
-		if r.Server.Draining && !(known && old.server.Draining) {
+		withheld := !known && !r.Server.Draining && d.hadLeft(r)
+		if withheld {
+			d.list.withheld++
+			r.Server.Draining = true
+		}
+		if r.Server.Draining && !withheld && !(known && old.server.Draining) {
 			d.recordDeparture(Departure{ID: id, Offset: r.Offset, Draining: true})
 		}
 		if old.lapsed {
 			d.list.lapsedEntries--
 		}
-		d.list.entries[id] = entry{server: r.Server, offset: r.Offset}
+		if old.withheld {
+			d.list.withheld--
+		}
+		d.list.entries[id] = entry{server: r.Server, offset: r.Offset, withheld: withheld}
 		d.rosterChanged = true
-		if !known || old.lapsed || old.server.Draining != r.Server.Draining || !old.server.SameRun(r.Server) {
+		if withheld {
+			d.addChange(Withheld, r.Server, r.Offset, d.list.read)
+		} else if !known || old.lapsed || old.server.Draining != r.Server.Draining || !old.server.SameRun(r.Server) {
 			d.addChange(Seen, r.Server, r.Offset, d.list.read)
 		}
 	}
@@ -133,7 +150,7 @@
 	if len(d.list.announced) == 0 {
 		return
 	}
-	var offsets []int64
+	var offsets []position.Position
 	for _, g := range d.list.announced {
 		offsets = append(offsets, g.Offset)
 	}
@@ -156,12 +173,13 @@
 // itself or most of the lapsed ones had registered again.
 func (d *editor) applyRemovals(removals map[string]removal) {
 	duringGrace := d.list.outageEnd > 0 && d.list.read.At-d.list.outageEnd <= d.list.rules.Grace
-	mayBeLapse := duringGrace && (2*d.list.removedSinceOutage > d.list.entriesBeforeOutage || !d.list.rules.enabled(GuardMajority))
+	mayBeOneOfMany := duringGrace && d.list.mayLapse && (2*d.list.removedSinceOutage > d.list.entriesBeforeOutage || !d.list.rules.enabled(GuardMajority))
 	for id, r := range removals {
 		e := d.list.entries[id]
 		e.offset = r.offset
 		d.list.entries[id] = e
 		afterRecovery := r.afterRecovery && d.list.rules.enabled(GuardAfterRecovery)
+		mayBeLapse := mayBeOneOfMany || duringGrace && d.list.restored && r.missing
 		beforeOutage := r.offset < d.list.endBeforeOutage && d.list.rules.enabled(GuardBeforeOutage)
 		if !mayBeLapse || afterRecovery || beforeOutage || d.list.removalConfirmed(r.offset) {
 			d.remove(id, Removed, d.list.read)
@@ -186,12 +204,16 @@
 	if e.lapsed {
 		d.list.lapsedEntries--
 	}
+	if e.withheld {
+		d.list.withheld--
+	}
+	d.recordLeft(e)
 	if event != Ended { // no record of the list states it
 		d.recordDeparture(Departure{ID: id, Offset: e.offset})
 	}
 	d.addChange(event, e.server, e.offset, by)
 }
 
-func (d *editor) addChange(event Event, s roster.Server, offset int64, by Statement) {
+func (d *editor) addChange(event Event, s roster.Server, offset position.Position, by Statement) {
 	d.changes = append(d.changes, Change{Event: event, Server: s, Offset: offset, By: by})
 }
--- a/pkg/listing/list.go
+++ b/pkg/listing/list.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
@@ -18,6 +19,10 @@
 	// MaxAnnouncementAge is the age up to which an announcement takes precedence over a newer read,
 	// since a keeper knows about changes of its groups before the list shows them.
 	MaxAnnouncementAge time.Duration
+	// RestoreGrace is the time after a restore of the store for which servers that are known
+	// to have left stay so although the store lists them. By then the store has removed the
+	// entries of those that don't write any more.
+	RestoreGrace time.Duration
 	// AgeTolerance is the difference in age between announcements that transmission may cause.
 	AgeTolerance time.Duration
 	// Disabled holds the guards that have no effect. Only tests set it.
@@ -35,21 +40,29 @@
 	departures    []recentDeparture       // read here, in the order of reading
 	roster        *roster.Roster
 
-	lapsedEntries       int           // number of lapsed entries
-	storeAnsweredAt     time.Duration // latest time at which the store is known to have answered any instance
-	followedFrom        int64         // offset from which on the list was followed without a store outage
-	outageEnd           time.Duration // end of the last store outage
-	endBeforeOutage     int64         // highest end that this instance or a keeper had read when that outage began
-	entriesBeforeOutage int           // number of entries when that outage began
-	removedSinceOutage  int           // number of these that were lapsed already or were removed since
-	registeredAgain     int           // number of the lapsed or removed ones that registered again
+	lapsedEntries       int               // number of lapsed entries
+	storeAnsweredAt     time.Duration     // latest time at which the store is known to have answered any instance
+	followedFrom        position.Position // from which on the list was followed without a store outage
+	outageEnd           time.Duration     // end of the last store outage
+	endBeforeOutage     position.Position // highest end that this instance or a keeper had read when that outage began
+	entriesBeforeOutage int               // number of entries when that outage began
+	removedSinceOutage  int               // number of these that were lapsed already or were removed since
+	registeredAgain     int               // number of the lapsed or removed ones that registered again
+
+	mayLapse bool                // that outage lasted long enough for entries of running servers to lapse
+	restored bool                // it ended with a restore of the store from a copy
+	era      int64               // latest era that this instance or a keeper has read
+	eraAt    time.Duration       // when that was first known to have begun
+	left     map[string]departed // runs that left, by server ID
+	withheld int                 // number of withheld entries
 }
 
 // entry is a server's entry and the offset of its record.
 type entry struct {
-	server roster.Server
-	offset int64
-	lapsed bool // removed, perhaps only because of a store outage; kept for Rules.Grace
+	server   roster.Server
+	offset   position.Position
+	withheld bool // listed by a restored store although its server had left; kept as draining for Rules.RestoreGrace
+	lapsed   bool // removed, perhaps only because of a store outage; kept for Rules.Grace
 }
 
 // recentDeparture is the departure of a server and the time at which it was read.
@@ -77,7 +90,7 @@
 // Record is a record of the platform's list: an entry or the removal of one.
 type Record struct {
 	ID      string
-	Offset  int64
+	Offset  position.Position
 	Removed bool
 	Server  roster.Server
 }
@@ -85,29 +98,30 @@
 // Batch is the result of one read of the list.
 type Batch struct {
 	Records      []Record
-	Full         bool          // contains the records of all servers; any other server is gone
-	AfterFailure bool          // the previous read failed
-	End          int64         // offset after the last record that was read
-	Began        time.Duration // start of the read
-	Ended        time.Duration // lower bound of the time at which the store answered
+	Full         bool              // contains the records of all servers; any other server is gone
+	AfterFailure bool              // the previous read failed
+	End          position.Position // after the last record that was read
+	Began        time.Duration     // start of the read
+	Ended        time.Duration     // lower bound of the time at which the store answered
 }
 
 // Event is the kind of a change.
 type Event int
 
 const (
-	Seen    Event = iota // the entry is new or changed
-	Lapsed               // the entry was removed, perhaps because of a store outage, and is kept for Rules.Grace
-	Removed              // the entry was removed because its server left
-	Missing              // the entry lapsed, and its server did not register again within Rules.Grace
-	Ended                // another server answers at its address
+	Seen     Event = iota // the entry is new or changed
+	Lapsed                // the entry was removed, perhaps because of a store outage, and is kept for Rules.Grace
+	Removed               // the entry was removed because its server left
+	Missing               // the entry lapsed, and its server did not register again within Rules.Grace
+	Ended                 // another server answers at its address
+	Withheld              // a restored store lists it, although its server had left
 )
 
 // Change is a change of a server's entry in a List.
 type Change struct {
 	Event  Event
 	Server roster.Server
-	Offset int64
+	Offset position.Position
 	By     Statement // the statement that it follows from
 }
 
@@ -116,7 +130,7 @@
 
 // FollowedFrom returns the offset from which on this instance followed the list without a
 // store outage.
-func (l List) FollowedFrom() int64 { return l.followedFrom }
+func (l List) FollowedFrom() position.Position { return l.followedFrom }
 
 // RecentDepartures returns the departures to announce to the peers, the newest first.
 func (l List) RecentDepartures(now time.Duration) []Departure {
@@ -142,13 +156,20 @@
 	first := l.read == Statement{}
 	highestEnd := l.highestEnd()
 	l.read = Statement{Source: OwnRead, End: max(l.read.End, b.End), At: max(l.read.At, b.Ended)}
+	l.noteEra(Statement{End: b.End, At: b.Ended})
+	// The store is not known to have answered any instance for long enough that entries may
+	// have lapsed.
+	mayLapse := b.AfterFailure && (b.Began-l.storeAnsweredAt >= l.rules.OutageThreshold || !l.rules.enabled(GuardPeerAnswers))
+	restored := b.End.Era() > l.followedFrom.Era()
 	switch {
 	case first:
 		l.followedFrom = b.End
-	case b.AfterFailure && (b.Began-l.storeAnsweredAt >= l.rules.OutageThreshold || !l.rules.enabled(GuardPeerAnswers)):
-		// The store is not known to have answered any instance for long enough that
-		// entries may have lapsed.
+	case mayLapse || restored:
+		l.mayLapse, l.restored = mayLapse, restored
 		l.outageEnd, l.followedFrom, l.endBeforeOutage = b.Ended, b.End, highestEnd
+		if restored {
+			l.endBeforeOutage = 0 // no record of the era before is read any more
+		}
 		l.entriesBeforeOutage, l.removedSinceOutage, l.registeredAgain = len(l.entries), l.lapsedEntries, 0
 	}
 	l.storeAnsweredAt = max(l.storeAnsweredAt, b.Ended)
@@ -161,6 +182,7 @@
 // the changes. The announced places are ignored if another announcement is newer.
 func (l List) WithAnnouncement(dataCentre string, t Announcement) (List, []Change) {
 	l.storeAnsweredAt = max(l.storeAnsweredAt, t.At)
+	l.noteEra(t.Statement)
 	if old, ok := l.announcements[dataCentre]; !ok || !l.newer(old.Statement, Statement{End: t.End, At: t.At + l.rules.AgeTolerance}) {
 		l.announcements = maps.Clone(l.announcements)
 		if l.announcements == nil {
@@ -206,16 +228,22 @@
 	return g.Offset >= l.read.End && g.Offset > l.announced[g.ID].Offset
 }
 
-// WithoutExpired returns the list without its lapsed entries if their grace has ended.
+// WithoutExpired returns the list without its lapsed entries if their grace has ended, and
+// with its withheld entries as the store lists them if theirs has.
 func (l List) WithoutExpired(now time.Duration) (List, []Change) {
-	if now-l.outageEnd <= l.rules.Grace || !l.HasLapsed() {
+	lapsed := l.HasLapsed() && now-l.outageEnd > l.rules.Grace
+	withheld := l.withheld > 0 && now-l.eraAt > l.rules.RestoreGrace
+	if !lapsed && !withheld {
 		return l, nil
 	}
 	d := l.edit()
 	for id, e := range l.entries {
-		if e.lapsed {
+		if lapsed && e.lapsed {
 			d.remove(id, Missing, l.read)
 		}
+		if withheld && e.withheld {
+			d.release(id)
+		}
 	}
 	return d.finish()
 }
@@ -238,12 +266,15 @@
 	return announcements
 }
 
-// Refutes reports whether a server is draining or gone according to a record that
-// the source of a statement had not read yet.
-func (l List) Refutes(id string, s Statement) bool {
+// Refutes reports whether a run of a server is draining or gone according to a record that
+// the source of a statement had not read yet, or that the store lost when it was restored.
+func (l List) Refutes(id string, run int64, s Statement) bool {
 	if !l.rules.enabled(GuardOffsetOrder) {
 		return false
 	}
+	if g, ok := l.left[id]; ok && s.End.Era() > g.era && s.At-l.eraAt <= l.rules.RestoreGrace && !isLaterRun(run, g.run) {
+		return true
+	}
 	if g, ok := l.announced[id]; ok && s.End > 0 && s.End <= g.Offset {
 		return true
 	}
@@ -256,7 +287,7 @@
 
 // removalConfirmed reports whether a keeper has read the removal at an offset without
 // a store outage, so that the removal is not a lapse.
-func (l List) removalConfirmed(offset int64) bool {
+func (l List) removalConfirmed(offset position.Position) bool {
 	for _, t := range l.announcements {
 		if l.rules.enabled(GuardKeeperRead) && t.FollowedFrom <= offset && offset < t.End {
 			return true
@@ -265,8 +296,15 @@
 	return false
 }
 
+// noteEra records that a source has read an era of the list. The receiver is a copy.
+func (l *List) noteEra(s Statement) {
+	if s.End.Era() > l.era {
+		l.era, l.eraAt = s.End.Era(), s.At
+	}
+}
+
 // highestEnd returns the highest end that this instance or a keeper has read.
-func (l List) highestEnd() int64 {
+func (l List) highestEnd() position.Position {
 	end := l.read.End
 	for _, t := range l.announcements {
 		end = max(end, t.End)
--- a/pkg/listing/listing_string.go
+++ b/pkg/listing/listing_string.go
@@ -34,11 +34,12 @@
 	_ = x[Removed-2]
 	_ = x[Missing-3]
 	_ = x[Ended-4]
+	_ = x[Withheld-5]
 }
 
-const _Event_name = "SeenLapsedRemovedMissingEnded"
+const _Event_name = "SeenLapsedRemovedMissingEndedWithheld"
 
-var _Event_index = [...]uint8{0, 4, 10, 17, 24, 29}
+var _Event_index = [...]uint8{0, 4, 10, 17, 24, 29, 37}
 
 func (i Event) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/pkg/listing/restore.go
@@ -0,0 +1,76 @@
+package listing
+
+import (
+	"maps"
+	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/position"
+	"github.com/chicorystall/chicorystall/pkg/roster"
+)
+
+const (
+	// leftDuration is the time for which runs that left are remembered. It exceeds the age
+	// of the copies from which the store is restored.
+	leftDuration = time.Minute
+	maxLeft      = 1024 // runs that are remembered
+)
+
+// departed is a run of a server that left.
+type departed struct {
+	run, seq int64 // of its last entry
+	era      int64 // in which it left
+	at       time.Duration
+}
+
+// isLaterRun reports whether both runs of a server are known and x is the later one.
+func isLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
+
+// isOlder reports whether a server wrote an entry before the one with a run and a sequence
+// number.
+func isOlder(s roster.Server, run, seq int64) bool {
+	return isLaterRun(run, s.StartUnixMilli) || s.StartUnixMilli == run && s.EntrySeq < seq
+}
+
+// isCopyOf reports whether a record of a restored store is an older state of an entry.
+func isCopyOf(e entry, r Record) bool {
+	return r.Offset.Era() > e.offset.Era() && isOlder(r.Server, e.server.StartUnixMilli, e.server.EntrySeq)
+}
+
+// hadLeft reports whether a record of a restored store is of a run that had left, and was
+// not written since.
+func (d *editor) hadLeft(r Record) bool {
+	g, ok := d.list.left[r.ID]
+	return ok && r.Offset.Era() > g.era && !isLaterRun(r.Server.StartUnixMilli, g.run) && r.Server.EntrySeq <= g.seq
+}
+
+// recordLeft remembers the run of an entry that is removed.
+func (d *editor) recordLeft(e entry) {
+	now := d.list.read.At
+	d.list.left = maps.Clone(d.list.left)
+	if d.list.left == nil {
+		d.list.left = map[string]departed{}
+	}
+	maps.DeleteFunc(d.list.left, func(_ string, g departed) bool { return now-g.at > leftDuration })
+	if len(d.list.left) < maxLeft {
+		d.list.left[e.server.ID] = departed{run: e.server.StartUnixMilli, seq: e.server.EntrySeq, era: e.offset.Era(), at: now}
+	}
+}
+
+// release takes a withheld entry as the store lists it.
+func (d *editor) release(id string) {
+	e := d.list.entries[id]
+	e.withheld, e.server.Draining, d.rosterChanged = false, false, true
+	d.list.entries[id] = e
+	d.list.withheld--
+	d.addChange(Seen, e.server, e.offset, d.list.read)
+}
+
+// latestRemoval returns the latest position of the removal of an entry that isn't in a list
+// that was read to its end. A restored store may just have lost the entry, which no record
+// says and no keeper can have read.
+func (d *editor) latestRemoval(end position.Position) position.Position {
+	if d.list.restored && d.list.followedFrom == end {
+		return end.Start() - 1
+	}
+	return end - 1
+}
--- a/pkg/listing/statement.go
+++ b/pkg/listing/statement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
+	"github.com/chicorystall/chicorystall/pkg/position"
 )
 
 // Source is the kind of source that a statement comes from.
@@ -21,9 +22,9 @@
 // Statement states how far a source had read the list at a time.
 type Statement struct {
 	Source Source
-	From   string        // name of the keeper, for Word
-	End    int64         // offset after the last record that was read; 0 means unknown
-	At     time.Duration // latest known time at which there were no further records, on the clock of package boottime
+	From   string            // name of the keeper, for Word
+	End    position.Position // after the last record that was read; 0 means unknown
+	At     time.Duration     // latest known time at which there were no further records, on the clock of package boottime
 }
 
 // Newer reports whether s takes precedence over another statement. It compares the
@@ -40,7 +41,7 @@
 	Statement
 	// FollowedFrom is the offset from which on the keeper followed the list without a store
 	// outage, so a removal there was not caused by an outage.
-	FollowedFrom int64
+	FollowedFrom position.Position
 	Places       []dispatch.Place
 	// Departures holds the servers of any data centre that left recently according to the
 	// keeper's reads.
@@ -50,6 +51,6 @@
 // Departure is the departure of a server: its owner removed it or is draining it.
 type Departure struct {
 	ID       string
-	Offset   int64 // of the record that states it
-	Draining bool  // the entry still exists, but the server is draining
+	Offset   position.Position // of the record that states it
+	Draining bool              // the entry still exists, but the server is draining
 }
