instance, keeper: what only the instances write to the store is written again after a restore

Cause: the addresses of instances and the grants that were written in the seconds that the store lost are nowhere else, and were written once. An instance that started later didn't learn of the others, and a keeper went on under a grant that the store could give out again. Change: the first read that shows a new era makes an instance register its address and read the others' again, and its keeper take another grant as soon as no group is forming.

--- a/internal/instance/meeting.go
+++ b/internal/instance/meeting.go
@@ -13,11 +13,25 @@
 )
 
 // discoverInstances registers this instance's address in the store and adds the
-// registered addresses of the others. It retries until both have succeeded.
+// registered addresses of the others. It does so again when the store was restored from a
+// copy, which may lack addresses that were registered since.
 func (i *instance) discoverInstances(ctx context.Context) error {
 	for _, seed := range i.settings.Seeds {
 		i.exchanger.Add(seed)
 	}
+	for ctx.Err() == nil {
+		i.meet(ctx)
+		select {
+		case <-ctx.Done():
+		case <-i.storeRestored:
+		}
+	}
+	return nil
+}
+
+// meet registers this instance's address and adds the others. It retries until both have
+// succeeded.
+func (i *instance) meet(ctx context.Context) {
 	registered := false
 	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
 		if !registered {
@@ -30,14 +44,26 @@
 				i.addInstance(r)
 			}
 			i.mu.Lock()
-			i.instancesKnownAt = time.Now()
+			if i.instancesKnownAt.IsZero() {
+				i.instancesKnownAt = time.Now()
+			}
 			i.mu.Unlock()
 			i.log.Info("instances known", telemetry.Fields{"processes": i.exchanger.ProcessCount()})
-			return nil
+			return
 		}
 		sleep(ctx, pause/2+rand.N(pause/2))
 	}
-	return nil
+}
+
+// onStoreRestored renews what this instance had written to the store before it was
+// restored from a copy.
+func (i *instance) onStoreRestored() {
+	i.metrics.StoreRestores.WithLabelValues().Inc()
+	i.keeper.RenewGrant()
+	select {
+	case i.storeRestored <- struct{}{}:
+	default:
+	}
 }
 
 func (i *instance) addInstance(r Record) {
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -91,7 +91,8 @@
 	rebuilding sync.Mutex // held while the places are rebuilt
 	usability  usabilityLog
 
-	silentHeads chan struct{} // receives when a keeper has told of heads that don't answer it
+	storeRestored chan struct{} // receives when the store was restored from a copy
+	silentHeads   chan struct{} // receives when a keeper has told of heads that don't answer it
 
 	mu                sync.Mutex
 	relay             string                          // name of the relay of this data centre that was heard last
@@ -164,11 +165,12 @@
 		reachedAt:       map[string]time.Time{},
 		refusalLoggedAt: map[neighbour.Refusal]time.Time{},
 		silentHeads:     make(chan struct{}, 1),
+		storeRestored:   make(chan struct{}, 1),
 		stopping:        func() bool { return ctx.Err() != nil },
 	}
 	i.state = NewState(i.platform, settings, i.log, i.isKeeper, func() bool { return i.keeper.Repairing() }, i.workersRelayed,
 		func() int { return i.exchanger.ProcessCount() }, func() { i.rebuildPlaces() })
-	i.state.onRestore = func() { i.metrics.StoreRestores.WithLabelValues().Inc() }
+	i.state.onRestore = i.onStoreRestored
 	i.exchanger = &neighbour.Exchanger{
 		Instance: settings.Name, DataCentre: settings.DataCentre, DataCentres: settings.DataCentres,
 		Listen: settings.NeighbourAddress, Started: i.started, Weight: i.weight(),
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -137,9 +138,10 @@
 	decide       func(formation.Input) formation.Decision // nil means formation.Decide
 	newGroupName func(model string) string                // nil means randomGroupName
 
-	calls   errgroup.Group
-	results chan func() // functions that apply the results of calls
-	grants  chan func() // functions that apply the results of requests for grants
+	calls         errgroup.Group
+	results       chan func() // functions that apply the results of calls
+	grantOutdated atomic.Bool // the store may have lost the record of the grant
+	grants        chan func() // functions that apply the results of requests for grants
 
 	mu             sync.Mutex
 	workers        map[string]*worker
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -37,6 +37,10 @@
 // openFrom returns the lowest epoch of groups that the keeper may open.
 func (t tenure) openFrom() int64 { return formation.Term{Grant: t.grant}.Base() }
 
+// RenewGrant makes the keeper request another grant, once no group is forming. Its caller
+// knows that the store may have lost the record of the present one.
+func (k *Keeper) RenewGrant() { k.grantOutdated.Store(true) }
+
 // requestGrant requests a grant if the keeper has none. One that has gone on without
 // does so only while no group is forming, since groups of the epochs before are given up.
 func (k *Keeper) requestGrant(ctx context.Context) {
@@ -49,6 +53,9 @@
 	default:
 	}
 	now, interval := time.Now(), grantRetryInterval
+	if k.tenure.grant > 0 && len(k.forming) == 0 && k.grantOutdated.CompareAndSwap(true, false) {
+		k.tenure = tenure{wantedSince: now}
+	}
 	if k.tenure.unguarded {
 		interval = grantRenewalInterval
 	}
@@ -78,6 +85,7 @@
 			}
 			k.Log.Info("grant", telemetry.Fields{"number": grant, "ms": time.Since(now).Milliseconds()})
 			k.tenure = tenure{grant: grant}
+			k.grantOutdated.Store(false)
 			k.epoch = max(k.epoch, k.tenure.openFrom())
 		}
 		select {
--- a/internal/keeper/tenure_test.go
+++ b/internal/keeper/tenure_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// Grants whose records the store may have lost are renewed, but not while a group is
+// forming, whose epochs derive from the present one.
+func TestKeeperRenewsAGrantThatTheStoreMayHaveLost(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		tenure  tenure
+		forming map[string]formation.FormingGroup
+		want    int64
+	}{
+		{"a grant", tenure{grant: 5}, nil, 9},
+		{"a grant, and a group is forming", tenure{grant: 5}, map[string]formation.FormingGroup{"g": {}}, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			k := newTestKeeper(func(known roster.Server) (roster.Server, error) { return known, nil })
+			k.Grant = func(context.Context) (int64, error) { return 9, nil }
+			k.tenure, k.forming = c.tenure, c.forming
+			k.RenewGrant()
+			k.requestGrant(t.Context())
+			g.Eventually(func() int64 {
+				k.requestGrant(t.Context())
+				return k.tenure.grant
+			}).Should(Equal(c.want))
+			g.Expect(k.grantOutdated.Load()).To(Equal(c.want == 5))
+		})
+	}
+}
