ratelimit: requests beyond a limit are made up for, and demand is not underrated

Cause: the account counted what was sent in a window of two seconds. When that ended, all instances found room at the same moment, each thought that few others compete, since it divided its demand by the number of places, and the excess of one window was forgotten in the next. Change: what was sent decays, so that room comes back slowly and an excess is paid; demand is all that an instance has for the service and model. A test of the dispatcher expects the smaller burst: 2 requests at a limit of 2, not 4.

--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -135,11 +135,12 @@
 
 func (l Limit) isValid() bool {
 	return isValidRate(l.PerSecond) && isValidRate(l.Demand) && l.Run >= 0 && isValidAge(l.NamedAge) && isValidAge(l.FreeAge) &&
-		isValidCount(l.Sent) && isValidCount(l.Instances) && l.Instances <= maxPeers
+		isValidRate(l.Sent) && isValidCount(l.Instances) && l.Instances <= maxPeers
 }
 
-// isValidRate reports whether a number is one of requests per second. It is false for NaN.
-func isValidRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxCount }
+// isValidRate reports whether a number is one of requests, or of requests per second. It is
+// false for NaN.
+func isValidRate(n float64) bool { return n >= 0 && n <= maxCount }
 
 func isValidAge(ms int64) bool     { return ms >= 0 && ms <= maxAge.Milliseconds() }
 func isValidCount(n int) bool      { return n >= 0 && n <= maxCount }
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -151,7 +151,7 @@
 	PerSecond float64
 	NamedAge  int64   // since an answer last named the limit
 	FreeAge   int64   // one more than the age of the last answer that named none; 0 if there was none
-	Sent      int     // requests that the instances sent lately
+	Sent      float64 // requests that the instances sent, which decay with time
 	Demand    float64 // requests per second that they would send
 	Instances int     // that Sent and Demand are of
 }
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -35,14 +35,14 @@
 }
 
 // updateDemand tells the accounts of limited places what this instance would send there:
-// an even part of what arrives here for the places of a service and model.
+// all that arrives here for a service and model, since a place with a low load is the best
+// for every request once its limit admits one.
 func (s *Scheduler) updateDemand(now time.Time, k serviceModel) {
 	if s.limits.Len(now) == 0 {
 		return
 	}
-	candidates := s.byServiceModel[k]
-	for _, p := range candidates {
-		s.limits.SetDemand(p.ID, s.arrivals[k].perSecond(now)/float64(len(candidates)))
+	for _, p := range s.byServiceModel[k] {
+		s.limits.SetDemand(p.ID, s.arrivals[k].perSecond(now))
 	}
 }
 
--- a/pkg/dispatch/limit_test.go
+++ b/pkg/dispatch/limit_test.go
@@ -44,8 +44,8 @@
 			g.Expect(d.Verdict).To(Equal(dispatch.Run))
 			sent[d.Place.ID]++
 		}
-		g.Expect(sent["h"]).To(BeNumerically("<=", 4))
-		g.Expect(sent["other"]).To(BeNumerically(">=", 16))
+		g.Expect(sent["h"]).To(BeNumerically("<=", 2))
+		g.Expect(sent["other"]).To(BeNumerically(">=", 18))
 	})
 	t.Run("alone, makes requests wait or refuses them at once", func(t *testing.T) {
 		g := NewWithT(t)
@@ -59,9 +59,9 @@
 				g.Expect(d.RetryAfter).To(BeNumerically(">=", 500*time.Millisecond), "the time until its turn by the limit")
 			}
 		}
-		g.Expect(verdicts[dispatch.Run]).To(Equal(4))
+		g.Expect(verdicts[dispatch.Run]).To(Equal(2))
 		g.Expect(verdicts[dispatch.Wait]).To(Equal(1))
-		g.Expect(verdicts[dispatch.Refuse]).To(Equal(15))
+		g.Expect(verdicts[dispatch.Refuse]).To(Equal(17))
 	})
 	t.Run("counts attempts that are handed over", func(t *testing.T) {
 		g := NewWithT(t)
@@ -72,7 +72,7 @@
 				assigned++
 			}
 		}
-		g.Expect(assigned).To(Equal(4))
+		g.Expect(assigned).To(Equal(2))
 	})
 	t.Run("takes all again once it names no limit", func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/ratelimit/account.go
+++ b/pkg/ratelimit/account.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// minWindow is the shortest window of an account. The window is longer for low limits,
-	// so that it has room for minWindowRequests.
-	minWindow         = 2 * time.Second
-	minWindowRequests = 2
+	// minHorizon is the shortest horizon of an account: the time in which what was sent decays
+	// to 1/e. The horizon is longer for low limits, so that it has room for minBurst requests.
+	minHorizon = time.Second
+	minBurst   = 2
 	// minPerSecond replaces lower limits. A server that gets no requests at all could not
 	// say that it takes more again.
 	minPerSecond = 0.2
@@ -26,8 +26,8 @@
 	// reportTimeout and reportLags bound how long a peer's report counts.
 	reportTimeout = time.Second
 	reportLags    = 5
-	// contentionSlots is the number of slots for which a request competes for what is left.
-	contentionSlots = 2
+	// minContention is the shortest time for which a request competes for what is left.
+	minContention = 300 * time.Millisecond
 	// idleContention is what each other instance adds to the competing requests at least.
 	idleContention = 0.01
 )
@@ -46,7 +46,7 @@
 	freeAt     time.Time // when an answer last named none; zero if none did
 	admitsFrom time.Time // since when the limit is kept without interruption
 	demand     float64   // requests per second that this instance would send
-	sent       []time.Time
+	sent       decayingSum
 	peers      map[string]peerReport
 
 	slotStart  time.Time
@@ -56,12 +56,31 @@
 
 // peerReport is a peer's last report of a server.
 type peerReport struct {
-	sent       int
+	sent       float64 // when it was received
 	demand     float64
 	instances  int
 	receivedAt time.Time
 }
 
+// decayingSum is a sum of numbers that decay exponentially. Sums of several instances can
+// be added, and one that arrives late is decayed by its age.
+type decayingSum struct {
+	sum float64
+	at  time.Time // of the last change
+}
+
+func (s decayingSum) value(now time.Time, horizon time.Duration) float64 {
+	return s.sum * decay(now.Sub(s.at), horizon)
+}
+
+func (s decayingSum) plus(n float64, now time.Time, horizon time.Duration) decayingSum {
+	return decayingSum{sum: s.value(now, horizon) + n, at: now}
+}
+
+func decay(age, horizon time.Duration) float64 {
+	return math.Exp(-max(age, 0).Seconds() / horizon.Seconds())
+}
+
 // limiting reports whether the limit holds now.
 func (a *account) limiting(now time.Time) bool {
 	return now.Sub(a.namedAt) < maxAge && a.freeAt.Before(a.namedAt.Add(settleTime))
@@ -74,19 +93,8 @@
 
 func (a *account) rate() float64 { return max(a.perSecond, minPerSecond) }
 
-func (a *account) window() time.Duration {
-	return max(minWindow, time.Duration(minWindowRequests/a.rate()*float64(time.Second)))
-}
-
-// sentWithin returns the number of requests that this instance sent in the window.
-func (a *account) sentWithin(now time.Time) int {
-	start := now.Add(-a.window())
-	n := 0
-	for n < len(a.sent) && !a.sent[n].After(start) {
-		n++
-	}
-	a.sent = a.sent[n:]
-	return len(a.sent)
+func (a *account) horizon() time.Duration {
+	return max(minHorizon, time.Duration(minBurst/a.rate()*float64(time.Second)))
 }
 
 // others sums up the fresh reports of the peers.
@@ -96,7 +104,7 @@
 			delete(a.peers, name)
 			continue
 		}
-		sum.sent += p.sent
+		sum.sent += p.sent * decay(now.Sub(p.receivedAt), a.horizon())
 		sum.demand += p.demand
 		sum.instances += p.instances
 	}
@@ -109,19 +117,17 @@
 	others := a.others(now, f)
 	instances := max(f.Instances, 1, others.instances+1)
 	unheard := instances - 1 - others.instances
-	// Instances that aren't heard send as much as the limit divided among all.
-	allowed := a.rate() * a.window().Seconds() * (1 - float64(unheard)/float64(instances))
-	if elapsed := now.Sub(a.admitsFrom); elapsed < a.window() {
-		allowed *= max(elapsed, 0).Seconds() / a.window().Seconds()
-	}
-	left := allowed - float64(others.sent) - float64(a.sentWithin(now)) + float64(a.sentInSlot)
+	// Instances that aren't heard send as much as the limit divided among all. When the limit
+	// begins, it counts as used in full.
+	allowed := a.rate() * a.horizon().Seconds() * (1 - float64(unheard)/float64(instances)) * (1 - decay(now.Sub(a.admitsFrom), a.horizon()))
+	left := allowed - others.sent - a.sent.value(now, a.horizon()) + float64(a.sentInSlot)
 	return max(left, 0) * a.share(f, others, unheard)
 }
 
 // share returns this instance's share of what is left, by the requests that compete for
 // it in a slot.
 func (a *account) share(f Fleet, others peerReport, unheard int) float64 {
-	competing := contentionSlots * slot(f).Seconds()
+	competing := max(slot(f), minContention).Seconds()
 	own := max(a.demand*competing, 1)
 	rest := (others.demand + float64(unheard)*a.demand) * competing
 	return own / (own + rest + idleContention*float64(others.instances+unheard))
--- a/pkg/ratelimit/doc.go
+++ b/pkg/ratelimit/doc.go
@@ -2,7 +2,7 @@
 // together with all instances that send requests to them.
 //
 // A Table holds an account of each limited server: the limit, and what every instance
-// has sent within a window. Instances exchange Reports, which may arrive late, repeatedly
+// has sent, which decays with time. Instances exchange Reports, which may arrive late, repeatedly
 // or not at all. Each instance admits a part of what is left of the limit, by its share of
 // the demand, so that the instances need no coordinator and no common clock:
 //
@@ -17,5 +17,5 @@
 //
 // An instance whose reports don't arrive is assumed to use a part like the others. What
 // instances admit at the same time, before they hear of each other, can exceed the limit
-// for a moment; the account then admits nothing until the window has made up for it.
+// for a moment; the account then admits nothing until that has decayed.
 package ratelimit
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -35,6 +35,8 @@
 	loss      float64       // share of the digests that are lost
 	// demand returns the requests per second that arrive at an instance.
 	demand func(now time.Duration, instance int) float64
+	// known is the share of its demand that an instance knows; 0 means all.
+	known float64
 	// cutOff reports whether an instance neither sends nor receives digests.
 	cutOff func(now time.Duration, instance int) bool
 	// restartAt returns when an instance starts again; 0 means never.
@@ -106,6 +108,9 @@
 					arrived++
 				}
 			}
+			if w.known > 0 {
+				demand *= w.known
+			}
 			tables[i].SetDemand(server, demand)
 			var still []time.Duration
 			for _, arrived := range waiting[i] {
@@ -261,3 +266,25 @@
 		})
 	}
 }
+
+// All instances found room at the same moment, again and again, as what they had sent
+// beyond the limit was forgotten after a while.
+func TestLimitIsKeptWhenDemandIsHigherThanKnown(t *testing.T) {
+	for _, limit := range []float64{0.5, 2, 8} {
+		for _, known := range []float64{0.3, 0.1} {
+			t.Run(fmt.Sprint(limit, " with ", known), func(t *testing.T) {
+				g := NewWithT(t)
+				const instances = 9
+				w := world{
+					instances: instances, limit: limit, loss: 0.02, patience: time.Second, known: known,
+					demand: func(time.Duration, int) float64 { return 7 }, length: 40 * time.Second,
+				}
+				for w.seed = range *seeds {
+					sends, arrived := w.run()
+					g.Expect(w.worstExcess(sends)).To(BeNumerically("<=", 0), "seed %d", w.seed)
+					g.Expect(w.use(sends, arrived)).To(BeNumerically("<=", windowExcess), "seed %d", w.seed)
+				}
+			})
+		}
+	}
+}
--- a/pkg/ratelimit/table.go
+++ b/pkg/ratelimit/table.go
@@ -36,7 +36,7 @@
 	NamedAge  time.Duration // since an answer last named the limit
 	FreeAge   time.Duration // since an answer last named none, if HasFree
 	HasFree   bool
-	Sent      int     // requests that the instances sent to it within the window
+	Sent      float64 // requests that the instances sent to it, which decay with its horizon
 	Demand    float64 // requests per second that they would send to it
 	Instances int     // that the report is of
 }
@@ -151,7 +151,7 @@
 	for server, a := range t.accounts {
 		r := Report{
 			Server: server, Run: a.run, PerSecond: a.perSecond, NamedAge: now.Sub(a.namedAt),
-			Sent: a.sentWithin(now), Demand: a.demand, Instances: 1,
+			Sent: a.sent.value(now, a.horizon()), Demand: a.demand, Instances: 1,
 		}
 		if !a.freeAt.IsZero() {
 			r.FreeAge, r.HasFree = now.Sub(a.freeAt), true
@@ -216,7 +216,7 @@
 // Spend records that this instance sends a request to a server.
 func (t *Table) Spend(now time.Time, server string) {
 	if a := t.accounts[server]; a != nil && a.limiting(now) {
-		a.sent = append(a.sent, now)
+		a.sent = a.sent.plus(1, now, a.horizon())
 		a.sentInSlot++
 	}
 }
