--- a/cmd/chicorystall/series_disturbance_test.go
+++ b/cmd/chicorystall/series_disturbance_test.go
@@ -13,7 +13,10 @@
 	"syscall"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/chicorystall/chicorystall/internal/fake/groupworker"
+	"github.com/chicorystall/chicorystall/internal/fake/metastore"
 )
 
 // run lets clients send requests while it injects disturbances, and returns what was seen.
@@ -41,6 +44,7 @@
 	time.Sleep(time.Second)
 	s.stopping.Store(true)
 	clients.Wait()
+	s.checkLastConfig()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n := range s.record.requests {
@@ -96,6 +100,9 @@
 		s.silence(random, time.Duration(800+random.IntN(600))*time.Millisecond, true)
 	case limitWorkers:
 		s.nameLimits(group, random, time.Duration(6000+random.IntN(6000))*time.Millisecond)
+	case restoreStore:
+		age, outage := time.Duration(1000+random.IntN(6000))*time.Millisecond, time.Duration(200+random.IntN(2300))*time.Millisecond
+		group.Go(func() { s.restoreStore(age, outage) })
 	case harmWorkers:
 		s.harm(group, random, time.Duration(2000+random.IntN(4000))*time.Millisecond)
 	case harmAndRestartAll:
@@ -219,6 +226,53 @@
 	})
 }
 
+// restoreStore takes the store away for a while and lets it come back from a copy of some
+// age. Operator and workers write again what it lost.
+func (s *series) restoreStore(age, outage time.Duration) {
+	if !s.restoring.TryLock() {
+		return
+	}
+	defer s.restoring.Unlock()
+	c := s.store.Copy()
+	time.Sleep(age)
+	s.note("the store goes away")
+	s.store.SetFault(metastore.Down)
+	time.Sleep(outage)
+	s.mu.Lock() // no configuration is sent meanwhile
+	s.store.Restore(c)
+	s.store.Put("keyed.op", "config", s.configData)
+	s.mu.Unlock()
+	s.store.SetFault(metastore.None)
+	s.note("the store is back from a copy of %v", age)
+	time.Sleep(300 * time.Millisecond)
+	s.fleet.WriteEntries()
+}
+
+// checkLastConfig records the instances that take requests and don't know the last
+// configuration in time.
+func (s *series) checkLastConfig() {
+	s.putConfig()
+	time.Sleep(seriesConfigDelay)
+	for _, i := range s.instances {
+		if !i.isReady() {
+			continue
+		}
+		path := fmt.Sprintf("/version-%d/", s.config.version)
+		request, err := http.NewRequest(http.MethodGet, "http://"+i.address+path, nil)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		request.Host = "app.example"
+		request.Header = http.Header{"X-Request-Id": {fmt.Sprintf("last-%d", i.number)}, "X-Deadline-Ms": {"1000"}, "Authorization": {"Bearer library-key"}}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue // the instance has stopped
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusUnauthorized {
+			s.record.outdated = append(s.record.outdated, fmt.Sprintf("instance %d answers %d to %s", i.number, response.StatusCode, path))
+		}
+	}
+}
+
 // harm makes some workers break off their answers for a while.
 func (s *series) harm(group *sync.WaitGroup, random *rand.Rand, d time.Duration) {
 	harmed := []string{fmt.Sprintf("d-%d", random.IntN(seriesPlainWorkers))}
--- a/cmd/chicorystall/series_judge_test.go
+++ b/cmd/chicorystall/series_judge_test.go
@@ -54,6 +54,7 @@
 	stops    []seriesStop
 	troubles []seriesTrouble
 	limits   []seriesLimit
+	outdated []string // instances that didn't know the last configuration in time
 	bounds   seriesBounds
 }
 
@@ -91,6 +92,9 @@
 	}
 	r.judgeRetries(&v)
 	r.judgeLimits(&v)
+	for _, o := range r.outdated {
+		v.broken = append(v.broken, "CONFIG: "+o)
+	}
 	return v
 }
 
--- a/cmd/chicorystall/series_process_test.go
+++ b/cmd/chicorystall/series_process_test.go
@@ -61,6 +61,7 @@
 	minInterval time.Duration
 	calm        time.Duration // before the first disturbance
 	minPeriod   time.Duration // between two requests of a client
+	restoring   sync.Mutex    // held while the store is taken away and restored
 	clients     int           // of each instance
 	routes      []string      // of requests, each as often as it is drawn
 	instances   []*seriesInstance
@@ -69,8 +70,10 @@
 	mu      sync.Mutex
 	record  seriesRecord
 	limited map[string]bool // workers that name a limit
-	config  seriesConfig
-	configs []sentConfig
+	// configData is the last configuration that was sent.
+	configData []byte
+	config     seriesConfig
+	configs    []sentConfig
 }
 
 // sentConfig is the timeouts of a configuration, by route, and when it was sent.
@@ -92,6 +95,7 @@
 	harmWorkers
 	harmAndRestartAll
 	limitWorkers
+	restoreStore
 )
 
 // seriesInstance is an entry instance, over the restarts of its process.
@@ -176,7 +180,7 @@
 		s.clients, s.routes = 5*seriesClients/2, []string{"draft"}
 		s.calm, s.minPeriod = seriesRetryWindow+2*time.Second, 900*time.Millisecond
 	default:
-		s.kinds = []int{hangUp, restartOne, restartSome, changeConfig, flickerRoute, stormConfigs, silenceSome, silenceAll, harmWorkers, harmWorkers, limitWorkers, limitWorkers}
+		s.kinds = []int{hangUp, restartOne, restartSome, changeConfig, flickerRoute, stormConfigs, silenceSome, silenceAll, harmWorkers, harmWorkers, limitWorkers, limitWorkers, restoreStore}
 	}
 	s.record.bounds = seriesBounds{
 		contact: seriesContact, grace: seriesGrace, lossSlack: seriesLossSlack, retryWindow: seriesRetryWindow, retryRatio: seriesRetryRatio, retrySlack: seriesRetrySlack,
@@ -349,6 +353,7 @@
 	}
 	add("order", "unsafe", "desk", timeouts["order"])
 	add("status", "safe", "desk", timeouts["status"])
+	add(fmt.Sprintf("version-%d", c.version), "safe", "desk", c.timeout)
 	if !c.noSpare {
 		add("spare", "safe", "desk", timeouts["spare"])
 	}
@@ -375,6 +380,7 @@
 	if err != nil {
 		panic(err) // can't happen, since the configuration holds plain values only
 	}
+	s.configData = data
 	s.store.Put("keyed.op", "config", data)
 }
 
--- a/internal/fake/groupworker/fleet.go
+++ b/internal/fake/groupworker/fleet.go
@@ -287,6 +287,17 @@
 	f.Store.Put("keyed.servers", w.ID, data)
 }
 
+// WriteEntries makes all workers that run write their entries again.
+func (f *Fleet) WriteEntries() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		if !w.dead {
+			f.writeEntry(w)
+		}
+	}
+}
+
 // addGroupFields adds the fields with which a model worker reports its group. The
 // caller holds the lock.
 func (f *Fleet) addGroupFields(w *Worker, entry map[string]any) {
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -63,6 +63,9 @@
 	for _, s := range i.gateway.Places.LeavingServers() {
 		d.LeavingServers = append(d.LeavingServers, neighbour.LeavingServer{Server: s.ID, Run: s.Run})
 	}
+	if c := i.state.View().Catalog; c != nil {
+		d.ConfigVersion = c.Version()
+	}
 	d.Limits = limitsOf(i.gateway.Places.LimitReports())
 	i.mu.Lock()
 	for id, at := range i.reachedAt {
@@ -138,6 +141,7 @@
 		i.gateway.Places.SetPeerLoads(d.Instance, loads)
 	}
 	i.mergeLimits(d)
+	i.state.NotePeerVersion(d.ConfigVersion)
 	i.gateway.Places.SetFailing(d.FailingHeads)
 	for _, s := range d.LeavingServers {
 		if i.gateway.Places.NotePeerLeaving(dispatch.LeavingServer{ID: s.Server, Run: s.Run}) {
--- a/internal/instance/restore_test.go
+++ b/internal/instance/restore_test.go
@@ -230,3 +230,57 @@
 		g.Expect(b.placed()).To(BeEmpty())
 	})
 }
+
+// An instance that started after a restore took the older configuration of the copy for
+// proven, and accepted keys that had been removed, while its peers knew the newer one.
+func TestOlderConfigurationOfTheCopyIsNotProven(t *testing.T) {
+	const start = time.Hour
+	for _, c := range []struct {
+		name  string
+		steps func(s *State, now *time.Duration)
+		want  bool // proven
+	}{
+		{"no peer knows a newer one", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(8)
+		}, true},
+		{"a peer does, right after the start", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(15)
+		}, false},
+		{"a peer does, and a later read shows nothing", func(s *State, now *time.Duration) {
+			*now += 2 * discoveryTime
+			s.NotePeerVersion(15)
+			*now += time.Second
+			readOperator(s, 2)
+		}, false},
+		{"a peer does, and no read has begun since", func(s *State, now *time.Duration) {
+			*now += 2 * discoveryTime
+			s.NotePeerVersion(15)
+		}, true},
+		{"a peer does, and a keeper proves the older one later", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(15)
+			*now += time.Second
+			s.ApplyKeeperProof(2, *now)
+		}, false},
+		{"the operator writes it again", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(15)
+			*now += time.Second
+			readOperator(s, 3, configAt(15, 2))
+		}, true},
+		{"the peer isn't heard any more", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(15)
+			*now += peerVersionTimeout + 1
+			readOperator(s, 2)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := start
+			s := newState(func() {})
+			s.clock = func() time.Duration { return now }
+			readOperator(s, 2, configAt(8, 1))
+			now += 100 * time.Millisecond
+			c.steps(s, &now)
+			g.Expect(s.View().ConfirmedAt > 0).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -97,6 +97,8 @@
 	operatorOffsets map[string]position.Position // of the newest decoded operator's record, by key
 	unreadable      map[string]position.Position // of an operator's record that can't be decoded, by key, until a newer one can
 	takenOut        map[string]bool              // data centres that are taken out of service
+	peers           peerVersion                  // newest configuration of the peers
+	firstRead       time.Duration                // start of the first read of the operator's records
 	restored        restoredDataCentres          // what the store says against takenOut since it was restored
 	operatorEra     int64                        // era of the last read of the operator's records
 	operatorEnd     position.Position            // before which all operator's records are known
@@ -184,7 +186,7 @@
 		}
 	}
 	s.relayedProof = max(s.relayedProof, proof)
-	if s.view.Catalog != nil && s.operatorEnd >= end {
+	if s.view.Catalog != nil && s.operatorEnd >= end && !s.storeLacksVersion(proof) {
 		s.view.ConfirmedAt = max(s.view.ConfirmedAt, proof)
 	}
 }
@@ -252,9 +254,15 @@
 			"topic": s.platform.OperatorFeed.Name, "era": b.end.Era(), "known_era": knownEra, "end": b.end.Offset(), "known_end": s.operatorEnd.Offset(), "records": len(b.records),
 		})
 	}
+	if s.firstRead == 0 {
+		s.firstRead = b.began
+	}
 	if b.caughtUp && len(s.unreadable) == 0 {
 		s.operatorEnd, s.operatorProof = b.end, b.began
 		s.view.ConfirmedAt = max(s.view.ConfirmedAt, b.began)
+		if s.storeLacksVersion(b.began) {
+			s.disprove()
+		}
 	}
 	s.mu.Unlock()
 	if restored && s.onRestore != nil {
--- a/internal/neighbour/check.go
+++ b/internal/neighbour/check.go
@@ -99,8 +99,8 @@
 		return newRefusal(OutOfRange, "start time %d ms or sequence number %d is out of range", d.Started, d.Seq)
 	case !isValidCount(d.Processes), d.Weight < 0, d.Weight > maxWeight:
 		return newRefusal(OutOfRange, "%d processes or the weight %d are out of range", d.Processes, d.Weight)
-	case !isValidAge(d.ListAge), !isValidAge(d.OperatorAge), d.OperatorEnd < 0, d.ListEnd < 0, d.ListSince < 0:
-		return newRefusal(OutOfRange, "list age %d ms, operator record age %d ms, operator record end %d, or list offsets are out of range", d.ListAge, d.OperatorAge, d.OperatorEnd)
+	case !isValidAge(d.ListAge), !isValidAge(d.OperatorAge), d.OperatorEnd < 0, d.ListEnd < 0, d.ListSince < 0, d.ConfigVersion < 0:
+		return newRefusal(OutOfRange, "list age %d ms, operator record age %d ms, operator record end %d, list offsets, or the version %d are out of range", d.ListAge, d.OperatorAge, d.OperatorEnd, d.ConfigVersion)
 	}
 	for _, l := range d.Load {
 		if !isValidCount(l.Running) || !isValidCount(l.Reading) {
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -94,6 +94,9 @@
 	// sends to them. In the digest of a relay, it sums up those of its data centre without
 	// the receiver.
 	Limits []Limit `cbor:"37,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration in force at the sender. Older
+	// releases leave it 0.
+	ConfigVersion int64 `cbor:"38,keyasint,omitempty"`
 	// Weight is the sender's weight in the choice of its data centre's keeper.
 	Weight int `cbor:"30,keyasint,omitempty"`
 
