listing, instance: what came back before a restore hasn't left; evacuations are doubted for less long

Found by reading the change. A worker whose entry had lapsed and was back before the restore was refuted for five heartbeats after it, since its departure was still remembered. It is forgotten when the worker registers again, or a keeper lists it later in the same era. And a data centre that is taken out of service right after a restore was in service for 4 s more, of 5 s that are allowed from the confirmation on; it is 3 s now, and 10 s where the store says that one is back. TestServerThatCameBackBeforeARestoreIsNotRefuted, TestDataCentresAfterTheStoreWasRestored.

--- a/internal/instance/restore_test.go
+++ b/internal/instance/restore_test.go
@@ -112,7 +112,7 @@
 		name       string
 		known      bool // taken out before
 		reads      func(*State)
-		soon, late bool // taken out during restoreGrace and after it
+		soon, late bool // taken out at first and in the end
 	}{
 		{"out, and the copy lacks it", true, func(s *State) { readOperator(s, at(2, 1)) }, true, false},
 		{"out, and it is written again", true, func(s *State) {
@@ -143,7 +143,9 @@
 			}
 			c.reads(s)
 			g.Expect(s.TakenOut("b")).To(Equal(c.soon))
-			now += restoreGrace
+			now += inServiceGrace
+			g.Expect(s.TakenOut("b")).To(Equal(c.late || c.soon))
+			now += outOfServiceGrace - inServiceGrace
 			g.Expect(s.TakenOut("b")).To(Equal(c.late))
 		})
 	}
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -61,10 +61,13 @@
 	// lapseGrace is how long after an outage of the store the entries that lapsed
 	// during it are kept, so that their workers can write them again.
 	lapseGrace = 2 * time.Second
-	// restoreGrace is how long after a restore of the store what it says of data centres is
-	// not believed against what was known before. It is below the time within which requests
-	// to a data centre that is taken out must stop.
-	restoreGrace = 4 * time.Second
+	// inServiceGrace is how long a restored store is not believed that a data centre is taken
+	// out of service which was known to be in service. With the time until the read, it is
+	// below that within which requests to a data centre that is taken out must stop.
+	// outOfServiceGrace replaces it in the other case. The operator needs seconds to write
+	// again what was lost.
+	inServiceGrace    = 3 * time.Second
+	outOfServiceGrace = 10 * time.Second
 	// restoreHeartbeats is the time after a restore of the store, in heartbeats, after which
 	// it has removed the entries of workers that don't write any more. An entry lapses after
 	// three heartbeats.
@@ -99,7 +102,7 @@
 	takenOut        map[string]bool              // data centres that are taken out of service
 	peers           peerVersion                  // newest configuration of the peers
 	firstRead       time.Duration                // start of the first read of the operator's records
-	restored        restoredDataCentres          // what the store says against takenOut since it was restored
+	doubted         map[string]doubtedState      // by data centre
 	operatorEra     int64                        // era of the last read of the operator's records
 	operatorEnd     position.Position            // before which all operator's records are known
 	operatorProof   time.Duration                // start of this instance's own read which showed that there were no others
@@ -133,7 +136,7 @@
 func (s *State) TakenOut(dataCentre string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.believeRestored()
+	s.believeDoubted()
 	return s.takenOut[dataCentre]
 }
 
@@ -212,7 +215,7 @@
 	restored := len(s.operatorOffsets) > 0 && b.end.Era() > s.operatorEra
 	knownEra := s.operatorEra
 	s.operatorEra = b.end.Era()
-	s.believeRestored()
+	s.believeDoubted()
 	changed := false
 	if b.full {
 		changed = s.restoreDataCentres(b.records, restored)
@@ -240,7 +243,7 @@
 			s.doubt(decoded.DataCentre, decoded.TakenOut)
 		case decoded.DataCentre != "":
 			s.takenOut[decoded.DataCentre] = decoded.TakenOut
-			delete(s.restored.takenOut, decoded.DataCentre)
+			delete(s.doubted, decoded.DataCentre)
 			changed = true
 			s.log.Info("data centre", recordFields(r, telemetry.Fields{"data_centre": decoded.DataCentre, "taken_out": decoded.TakenOut}))
 		}
@@ -295,35 +298,37 @@
 	}
 }
 
-// restoredDataCentres is what a restored store says about data centres, until it is
-// believed.
-type restoredDataCentres struct {
-	takenOut map[string]bool
+// doubtedState is what a restored store says of a data centre, until it is believed.
+type doubtedState struct {
+	takenOut bool
 	until    time.Duration
 }
 
 // doubt records that a restored store contradicts what was known of a data centre. The
-// operator may write the newer record again.
+// operator may write the newer record again. The caller holds the lock.
 func (s *State) doubt(dataCentre string, takenOut bool) {
-	if s.restored.takenOut == nil {
-		s.restored.takenOut = map[string]bool{}
+	grace := outOfServiceGrace
+	if takenOut {
+		grace = inServiceGrace
 	}
-	s.restored.takenOut[dataCentre] = takenOut
-	s.restored.until = s.clock() + restoreGrace
+	if s.doubted == nil {
+		s.doubted = map[string]doubtedState{}
+	}
+	s.doubted[dataCentre] = doubtedState{takenOut: takenOut, until: s.clock() + grace}
 	s.log.Info("restored store contradicts a data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": takenOut, "known": s.takenOut[dataCentre]})
 }
 
-// believeRestored takes what the restored store says of data centres once restoreGrace has
-// passed. The caller holds the lock.
-func (s *State) believeRestored() {
-	if len(s.restored.takenOut) == 0 || s.clock() < s.restored.until {
-		return
-	}
-	for dataCentre, takenOut := range s.restored.takenOut {
-		s.takenOut[dataCentre] = takenOut
-		s.log.Info("data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": takenOut})
+// believeDoubted takes what the restored store says of data centres once that has been
+// doubted for long enough. The caller holds the lock.
+func (s *State) believeDoubted() {
+	for dataCentre, d := range s.doubted {
+		if s.clock() < d.until {
+			continue
+		}
+		s.takenOut[dataCentre] = d.takenOut
+		delete(s.doubted, dataCentre)
+		s.log.Info("data centre", telemetry.Fields{"data_centre": dataCentre, "taken_out": d.takenOut})
 	}
-	clear(s.restored.takenOut)
 }
 
 // restoreDataCentres puts data centres back into service whose key is no longer in
--- a/pkg/listing/edit.go
+++ b/pkg/listing/edit.go
@@ -106,6 +106,9 @@
 		}
 		d.list.entries[id] = entry{server: r.Server, offset: r.Offset, withheld: withheld}
 		d.rosterChanged = true
+		if !withheld {
+			d.forgetLeft(id)
+		}
 		if withheld {
 			d.addChange(Withheld, r.Server, r.Offset, d.list.read)
 		} else if !known || old.lapsed || old.server.Draining != r.Server.Draining || !old.server.SameRun(r.Server) {
--- a/pkg/listing/list.go
+++ b/pkg/listing/list.go
@@ -183,6 +183,7 @@
 func (l List) WithAnnouncement(dataCentre string, t Announcement) (List, []Change) {
 	l.storeAnsweredAt = max(l.storeAnsweredAt, t.At)
 	l.noteEra(t.Statement)
+	l.forgetReturned(t)
 	if old, ok := l.announcements[dataCentre]; !ok || !l.newer(old.Statement, Statement{End: t.End, At: t.At + l.rules.AgeTolerance}) {
 		l.announcements = maps.Clone(l.announcements)
 		if l.announcements == nil {
@@ -272,7 +273,7 @@
 	if !l.rules.enabled(GuardOffsetOrder) {
 		return false
 	}
-	if g, ok := l.left[id]; ok && s.End.Era() > g.era && s.At-l.eraAt <= l.rules.RestoreGrace && !isLaterRun(run, g.run) {
+	if g, ok := l.left[id]; ok && s.End.Era() > g.offset.Era() && s.At-l.eraAt <= l.rules.RestoreGrace && !isLaterRun(run, g.run) {
 		return true
 	}
 	if g, ok := l.announced[id]; ok && s.End > 0 && s.End <= g.Offset {
--- a/pkg/listing/restore.go
+++ b/pkg/listing/restore.go
@@ -17,8 +17,8 @@
 
 // departed is a run of a server that left.
 type departed struct {
-	run, seq int64 // of its last entry
-	era      int64 // in which it left
+	run, seq int64             // of its last entry
+	offset   position.Position // of its removal
 	at       time.Duration
 }
 
@@ -40,7 +40,7 @@
 // not written since.
 func (d *editor) hadLeft(r Record) bool {
 	g, ok := d.list.left[r.ID]
-	return ok && r.Offset.Era() > g.era && !isLaterRun(r.Server.StartUnixMilli, g.run) && r.Server.EntrySeq <= g.seq
+	return ok && r.Offset.Era() > g.offset.Era() && !isLaterRun(r.Server.StartUnixMilli, g.run) && r.Server.EntrySeq <= g.seq
 }
 
 // recordLeft remembers the run of an entry that is removed.
@@ -52,10 +52,32 @@
 	}
 	maps.DeleteFunc(d.list.left, func(_ string, g departed) bool { return now-g.at > leftDuration })
 	if len(d.list.left) < maxLeft {
-		d.list.left[e.server.ID] = departed{run: e.server.StartUnixMilli, seq: e.server.EntrySeq, era: e.offset.Era(), at: now}
+		d.list.left[e.server.ID] = departed{run: e.server.StartUnixMilli, seq: e.server.EntrySeq, offset: e.offset, at: now}
 	}
 }
 
+// forgetLeft forgets the departure of a server that registered again.
+func (d *editor) forgetLeft(id string) {
+	if _, ok := d.list.left[id]; ok {
+		d.list.left = maps.Clone(d.list.left)
+		delete(d.list.left, id)
+	}
+}
+
+// forgetReturned forgets the departures of servers that a keeper lists later in the same era.
+func (l *List) forgetReturned(t Announcement) {
+	if len(l.left) == 0 {
+		return
+	}
+	left := maps.Clone(l.left)
+	for _, p := range t.Places {
+		if g, ok := left[p.ID]; ok && t.End > g.offset && t.End.Era() == g.offset.Era() {
+			delete(left, p.ID)
+		}
+	}
+	l.left = left
+}
+
 // release takes a withheld entry as the store lists it.
 func (d *editor) release(id string) {
 	e := d.list.entries[id]
--- a/pkg/listing/restore_test.go
+++ b/pkg/listing/restore_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/chicorystall/chicorystall/pkg/dispatch"
 	"github.com/chicorystall/chicorystall/pkg/position"
 	"github.com/chicorystall/chicorystall/pkg/roster"
 )
@@ -96,3 +97,36 @@
 	g.Expect(l.Roster().Len()).To(Equal(2))
 	g.Expect(changes).To(HaveExactElements(HaveField("Event", Removed)))
 }
+
+// A worker that lapsed and came back before the restore hasn't left.
+func TestServerThatCameBackBeforeARestoreIsNotRefuted(t *testing.T) {
+	left, _ := New(Rules{RestoreGrace: time.Minute}).WithRead(Batch{
+		Records: []Record{{ID: "w", Offset: at(1, 7), Server: roster.Server{ID: "w"}}}, Full: true, End: at(1, 8), Ended: time.Hour,
+	})
+	left, _ = left.WithRead(Batch{Records: []Record{{ID: "w", Offset: at(1, 8), Removed: true}}, End: at(1, 9), Ended: time.Hour + 1})
+	afterwards := Statement{End: at(2, 5), At: time.Hour + 5}
+	for _, c := range []struct {
+		name string
+		back func(List) List
+		want bool // refuted
+	}{
+		{"it didn't come back", func(l List) List { return l }, true},
+		{"this instance read it", func(l List) List {
+			l, _ = l.WithRead(Batch{Records: []Record{{ID: "w", Offset: at(1, 9), Server: roster.Server{ID: "w"}}}, End: at(1, 10), Ended: time.Hour + 2})
+			return l
+		}, false},
+		{"a keeper read it", func(l List) List {
+			l, _ = l.WithAnnouncement("a", Announcement{Statement: Statement{End: at(1, 10), At: time.Hour + 2}, Places: []dispatch.Place{{ID: "w"}}})
+			return l
+		}, false},
+		{"a keeper lists it that has not read the removal", func(l List) List {
+			l, _ = l.WithAnnouncement("a", Announcement{Statement: Statement{End: at(1, 8), At: time.Hour + 2}, Places: []dispatch.Place{{ID: "w"}}})
+			return l
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _ := c.back(left).WithAnnouncement("a", Announcement{Statement: afterwards})
+			NewWithT(t).Expect(l.Refutes("w", 0, afterwards)).To(Equal(c.want))
+		})
+	}
+}
