--- a/internal/instance/restore_test.go
+++ b/internal/instance/restore_test.go
@@ -209,6 +209,7 @@
 			read(false, at(2, 10), c.later...)
 			g.Expect(b.placed()).To(HaveLen(map[bool]int{true: 1}[c.placed]))
 			b.now += grace + 1
+			b.state.applyWorkers(batch{caughtUp: true, began: b.now, ended: b.now, end: at(2, 10)})
 			g.Expect(b.placed()).To(HaveLen(map[bool]int{true: 1}[c.inAWhile]))
 		})
 	}
--- a/pkg/listing/edit.go
+++ b/pkg/listing/edit.go
@@ -51,6 +51,9 @@
 		if last, ok := newest[r.ID]; ok && last.Offset >= r.Offset {
 			continue
 		}
+		if last, ok := newest[r.ID]; ok && r.Removed && !last.Removed {
+			d.recordLeft(last.Server, r.Offset)
+		}
 		newest[r.ID] = r
 		e, listed := d.list.entries[r.ID]
 		_, removed := removals[r.ID]
@@ -90,9 +93,12 @@
 			}
 			r.Server.Draining = true
 		}
-		withheld := !known && !r.Server.Draining && d.hadLeft(r)
+		withheld := !r.Server.Draining && d.hadLeft(old, known, r)
 		if withheld {
 			d.list.withheld++
+			if old.lapsed {
+				d.recordLeft(old.server, old.offset)
+			}
 			r.Server.Draining = true
 		}
 		if r.Server.Draining && !withheld && !(known && old.server.Draining) {
@@ -116,6 +122,7 @@
 		}
 	}
 	d.applyRemovals(removals)
+	d.releaseWithheld(b.Began)
 	d.pruneAnnounced()
 }
 
@@ -210,7 +217,7 @@
 	if e.withheld {
 		d.list.withheld--
 	}
-	d.recordLeft(e)
+	d.recordLeft(e.server, e.offset)
 	if event != Ended { // no record of the list states it
 		d.recordDeparture(Departure{ID: id, Offset: e.offset})
 	}
--- a/pkg/listing/list.go
+++ b/pkg/listing/list.go
@@ -229,22 +229,16 @@
 	return g.Offset >= l.read.End && g.Offset > l.announced[g.ID].Offset
 }
 
-// WithoutExpired returns the list without its lapsed entries if their grace has ended, and
-// with its withheld entries as the store lists them if theirs has.
+// WithoutExpired returns the list without its lapsed entries if their grace has ended.
 func (l List) WithoutExpired(now time.Duration) (List, []Change) {
-	lapsed := l.HasLapsed() && now-l.outageEnd > l.rules.Grace
-	withheld := l.withheld > 0 && now-l.eraAt > l.rules.RestoreGrace
-	if !lapsed && !withheld {
+	if now-l.outageEnd <= l.rules.Grace || !l.HasLapsed() {
 		return l, nil
 	}
 	d := l.edit()
 	for id, e := range l.entries {
-		if lapsed && e.lapsed {
+		if e.lapsed {
 			d.remove(id, Missing, l.read)
 		}
-		if withheld && e.withheld {
-			d.release(id)
-		}
 	}
 	return d.finish()
 }
--- a/pkg/listing/restore.go
+++ b/pkg/listing/restore.go
@@ -36,23 +36,34 @@
 	return r.Offset.Era() > e.offset.Era() && isOlder(r.Server, e.server.StartUnixMilli, e.server.EntrySeq)
 }
 
-// hadLeft reports whether a record of a restored store is of a run that had left, and was
-// not written since.
-func (d *editor) hadLeft(r Record) bool {
+// hadLeft reports whether a record of a restored store is of a run that had left, or may
+// have, and that hasn't written since. The entry is the one that is known, if there is one.
+func (d *editor) hadLeft(e entry, known bool, r Record) bool {
+	if known && !e.lapsed && !e.withheld {
+		return false
+	}
+	if e.lapsed && r.Offset.Era() > e.offset.Era() && isOlder(r.Server, e.server.StartUnixMilli, e.server.EntrySeq+1) {
+		return true
+	}
 	g, ok := d.list.left[r.ID]
-	return ok && r.Offset.Era() > g.offset.Era() && !isLaterRun(r.Server.StartUnixMilli, g.run) && r.Server.EntrySeq <= g.seq
+	return ok && r.Offset.Era() > g.offset.Era() && isOlder(r.Server, g.run, g.seq+1)
 }
 
-// recordLeft remembers the run of an entry that is removed.
-func (d *editor) recordLeft(e entry) {
+// recordLeft remembers a run whose entry is removed.
+func (d *editor) recordLeft(s roster.Server, offset position.Position) {
 	now := d.list.read.At
 	d.list.left = maps.Clone(d.list.left)
 	if d.list.left == nil {
 		d.list.left = map[string]departed{}
 	}
 	maps.DeleteFunc(d.list.left, func(_ string, g departed) bool { return now-g.at > leftDuration })
-	if len(d.list.left) < maxLeft {
-		d.list.left[e.server.ID] = departed{run: e.server.StartUnixMilli, seq: e.server.EntrySeq, offset: e.offset, at: now}
+	next := departed{run: s.StartUnixMilli, seq: s.EntrySeq, offset: offset, at: now}
+	g, known := d.list.left[s.ID]
+	if known && isOlder(s, g.run, g.seq) {
+		next.run, next.seq = g.run, g.seq
+	}
+	if known || len(d.list.left) < maxLeft {
+		d.list.left[s.ID] = next
 	}
 }
 
@@ -78,13 +89,21 @@
 	l.left = left
 }
 
-// release takes a withheld entry as the store lists it.
-func (d *editor) release(id string) {
-	e := d.list.entries[id]
-	e.withheld, e.server.Draining, d.rosterChanged = false, false, true
-	d.list.entries[id] = e
-	d.list.withheld--
-	d.addChange(Seen, e.server, e.offset, d.list.read)
+// releaseWithheld takes the withheld entries as the store lists them, if it has answered
+// for Rules.RestoreGrace.
+func (d *editor) releaseWithheld(began time.Duration) {
+	if d.list.withheld == 0 || began-max(d.list.eraAt, d.list.outageEnd) <= d.list.rules.RestoreGrace {
+		return
+	}
+	for id, e := range d.list.entries {
+		if e.withheld {
+			e.withheld, e.server.Draining, d.rosterChanged = false, false, true
+			d.list.entries[id] = e
+			d.list.withheld--
+			d.forgetLeft(id)
+			d.addChange(Seen, e.server, e.offset, d.list.read)
+		}
+	}
 }
 
 // latestRemoval returns the latest position of the removal of an entry that isn't in a list
