roster, gateway: one comparison of runs, one test front that reads words

dispatch, ratelimit and listing each had the same comparison of two runs of a server; tests of limits had a second front beside that of the other words. No behaviour changes.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -1,17 +1,13 @@
 package gateway_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
-	"github.com/chicorystall/chicorystall/internal/gateway"
 	"github.com/chicorystall/chicorystall/pkg/dispatch"
 )
 
@@ -38,7 +34,7 @@
 			t.Run("others are there", func(t *testing.T) {
 				g := NewWithT(t)
 				sound := newWordyServer(t, http.StatusOK, nil, 3)
-				front := newLimitedFront(t, append(places, dispatch.Place{
+				front := newWordyFront(t, append(places, dispatch.Place{
 					ID: "sound", Service: "s", Model: "m", DataCentre: "far", Address: sound.Listener.Addr().String(), Slots: 4,
 				}))
 				for n := range requests {
@@ -51,7 +47,7 @@
 			t.Run("it is the only one", func(t *testing.T) {
 				g := NewWithT(t)
 				s.requests.Store(0)
-				front := newLimitedFront(t, places)
+				front := newWordyFront(t, places)
 				begun := time.Now()
 				for n := range requests {
 					if time.Since(begun) > 3*time.Second {
@@ -64,23 +60,3 @@
 		})
 	}
 }
-
-// newLimitedFront returns the address of a gateway that reads the limits of servers.
-func newLimitedFront(t *testing.T, places []dispatch.Place) string {
-	gw := newPromptGateway(places)
-	gw.Dialect.ParseAnswer = func(status int, h http.Header) gateway.AnswerMeta {
-		meta := testDialect.ParseAnswer(status, h)
-		meta.NotRun = h.Get("Not-Run") != ""
-		meta.Limit.Word = gateway.Unlimited
-		if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
-			meta.Limit = gateway.RateLimit{Word: gateway.Named, PerSecond: perSecond}
-		}
-		return meta
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go gw.Places.Run(ctx)
-	front := httptest.NewServer(gw)
-	t.Cleanup(front.Close)
-	return front.URL
-}
--- a/internal/gateway/word_test.go
+++ b/internal/gateway/word_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,10 @@
 		meta := testDialect.ParseAnswer(status, h)
 		meta.Leaving, meta.NotRun = h.Get("Leaving") != "", h.Get("Not-Run") != ""
 		meta.Rest, _ = time.ParseDuration(h.Get("Rest")) // 0 without the header
+		meta.Limit.Word = gateway.Unlimited
+		if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+			meta.Limit = gateway.RateLimit{Word: gateway.Named, PerSecond: perSecond}
+		}
 		return meta
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/dispatch/bar.go
+++ b/pkg/dispatch/bar.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
 // BarCause is why a place gets no requests although it is listed.
@@ -82,10 +84,10 @@
 func (s *Scheduler) bar(now time.Time, id string, next bar) (isNew bool) {
 	known, ok := s.bars[id]
 	unexpired := ok && now.Before(known.until)
-	if unexpired && isLaterRun(known.run, next.run) {
+	if unexpired && roster.IsLaterRun(known.run, next.run) {
 		return false // what an earlier run said doesn't lift the bar of a later one
 	}
-	holds := unexpired && !isLaterRun(next.run, known.run)
+	holds := unexpired && !roster.IsLaterRun(next.run, known.run)
 	if holds {
 		next.run = max(next.run, known.run)
 	}
@@ -126,15 +128,12 @@
 // what an earlier one said.
 func (s *Scheduler) barred(now time.Time, p *placeState) (bar, bool) {
 	b, ok := s.bars[p.ID]
-	if !ok || !now.Before(b.until) || isLaterRun(p.Run, b.run) {
+	if !ok || !now.Before(b.until) || roster.IsLaterRun(p.Run, b.run) {
 		return bar{}, false
 	}
 	return b, true
 }
 
-// isLaterRun reports whether both runs of a server are known and x is the later one.
-func isLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
-
 // openAgainAt returns when the first of the places that can run a ticket is no longer
 // barred, or now if one isn't. It returns false if they are all leaving.
 func (s *Scheduler) openAgainAt(now time.Time, t *Ticket) (time.Time, bool) {
--- a/pkg/listing/list.go
+++ b/pkg/listing/list.go
@@ -267,7 +267,7 @@
 	if !l.rules.enabled(GuardOffsetOrder) {
 		return false
 	}
-	if g, ok := l.left[id]; ok && s.End.Era() > g.offset.Era() && s.At-l.eraAt <= l.rules.RestoreGrace && !isLaterRun(run, g.run) {
+	if g, ok := l.left[id]; ok && s.End.Era() > g.offset.Era() && s.At-l.eraAt <= l.rules.RestoreGrace && !roster.IsLaterRun(run, g.run) {
 		return true
 	}
 	if g, ok := l.announced[id]; ok && s.End > 0 && s.End <= g.Offset {
--- a/pkg/listing/restore.go
+++ b/pkg/listing/restore.go
@@ -22,13 +22,10 @@
 	at       time.Duration
 }
 
-// isLaterRun reports whether both runs of a server are known and x is the later one.
-func isLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
-
 // isOlder reports whether a server wrote an entry before the one with a run and a sequence
 // number.
 func isOlder(s roster.Server, run, seq int64) bool {
-	return isLaterRun(run, s.StartUnixMilli) || s.StartUnixMilli == run && s.EntrySeq < seq
+	return roster.IsLaterRun(run, s.StartUnixMilli) || s.StartUnixMilli == run && s.EntrySeq < seq
 }
 
 // isCopyOf reports whether a record of a restored store is an older state of an entry.
--- a/pkg/ratelimit/table.go
+++ b/pkg/ratelimit/table.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/chicorystall/chicorystall/pkg/roster"
 )
 
 const (
@@ -49,10 +51,10 @@
 
 func (t *Table) note(now time.Time, server string, run int64, perSecond float64, at time.Time) (isNews bool) {
 	a := t.accounts[server]
-	if a != nil && isLaterRun(a.run, run) {
+	if a != nil && roster.IsLaterRun(a.run, run) {
 		return false // an earlier run said so
 	}
-	if a == nil || isLaterRun(run, a.run) {
+	if a == nil || roster.IsLaterRun(run, a.run) {
 		if a = t.open(now, server); a == nil {
 			return false
 		}
@@ -102,7 +104,7 @@
 
 func (t *Table) noteUnlimited(now time.Time, server string, run int64, at time.Time) bool {
 	a := t.accounts[server]
-	if a == nil || isLaterRun(a.run, run) || at.Before(a.freeAt) {
+	if a == nil || roster.IsLaterRun(a.run, run) || at.Before(a.freeAt) {
 		return false
 	}
 	wasLimiting := a.limiting(now)
@@ -125,7 +127,7 @@
 			t.noteUnlimited(now, r.Server, r.Run, now.Add(-r.FreeAge))
 		}
 		a := t.accounts[r.Server]
-		if a == nil || isLaterRun(a.run, r.Run) {
+		if a == nil || roster.IsLaterRun(a.run, r.Run) {
 			continue
 		}
 		if a.peers == nil {
@@ -178,7 +180,7 @@
 // limiting returns the account of a server whose limit holds now for its run, or nil.
 func (t *Table) limiting(now time.Time, server string, run int64) *account {
 	a := t.accounts[server]
-	if a == nil || isLaterRun(run, a.run) || !a.limiting(now) {
+	if a == nil || roster.IsLaterRun(run, a.run) || !a.limiting(now) {
 		return nil
 	}
 	return a
@@ -220,6 +222,3 @@
 		a.sentInSlot++
 	}
 }
-
-// isLaterRun reports whether both runs of a server are known and x is the later one.
-func isLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -55,6 +55,10 @@
 	return s.ID == other.ID && s.StartUnixMilli == other.StartUnixMilli
 }
 
+// IsLaterRun reports whether both runs of a server are known and x is the later one. A run
+// is known by its start in milliseconds since 1970; 0 is one that isn't.
+func IsLaterRun(x, y int64) bool { return x != 0 && y != 0 && x > y }
+
 // IsHead reports whether the server is the head of a group.
 func (s Server) IsHead() bool { return s.Membership.State != Alone && s.Membership.Rank == 0 }
 
