instance: while a peer has a newer configuration, nothing proves an older one

Found by reading the change: right after a start a keeper's word about a read before the peer's digest proved the copy's configuration again, for up to revoke-ms. TestOlderConfigurationOfTheCopyIsNotProven has the case.

--- a/internal/instance/restore_test.go
+++ b/internal/instance/restore_test.go
@@ -264,6 +264,10 @@
 			*now += time.Second
 			s.ApplyKeeperProof(2, *now)
 		}, false},
+		{"a peer does, and a keeper proves the older one by an earlier read", func(s *State, now *time.Duration) {
+			s.NotePeerVersion(15)
+			s.ApplyKeeperProof(2, *now-1)
+		}, false},
 		{"the operator writes it again", func(s *State, now *time.Duration) {
 			s.NotePeerVersion(15)
 			*now += time.Second
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -189,8 +189,8 @@
 		}
 	}
 	s.relayedProof = max(s.relayedProof, proof)
-	if s.view.Catalog != nil && s.operatorEnd >= end && !s.storeLacksVersion(proof) {
-		s.view.ConfirmedAt = max(s.view.ConfirmedAt, proof)
+	if s.view.Catalog != nil && s.operatorEnd >= end {
+		s.confirm(proof)
 	}
 }
 
@@ -214,7 +214,7 @@
 	s.mu.Lock()
 	restored := len(s.operatorOffsets) > 0 && b.end.Era() > s.operatorEra
 	knownEra := s.operatorEra
-	s.operatorEra = b.end.Era()
+	s.operatorEra = max(s.operatorEra, b.end.Era())
 	s.believeDoubted()
 	changed := false
 	if b.full {
@@ -262,10 +262,7 @@
 	}
 	if b.caughtUp && len(s.unreadable) == 0 {
 		s.operatorEnd, s.operatorProof = b.end, b.began
-		s.view.ConfirmedAt = max(s.view.ConfirmedAt, b.began)
-		if s.storeLacksVersion(b.began) {
-			s.disprove()
-		}
+		s.confirm(b.began)
 	}
 	s.mu.Unlock()
 	if restored && s.onRestore != nil {
--- a/internal/instance/version.go
+++ b/internal/instance/version.go
@@ -44,11 +44,16 @@
 	return s.view.Catalog != nil && s.view.Catalog.Version() < s.peers.version && s.clock()-s.peers.heardAt <= peerVersionTimeout
 }
 
-// storeLacksVersion reports whether a read that began at a time, and that doesn't show a
-// newer configuration, shows that the store has lost one that a peer had read before. The
+// confirm records that a read which began at a time showed no newer configuration than the
+// one in force. If a peer has told of a newer one before that, the store has lost it. The
 // caller holds the lock.
-func (s *State) storeLacksVersion(began time.Duration) bool {
-	return s.isBehindPeers() && began > s.peers.since
+func (s *State) confirm(began time.Duration) {
+	switch {
+	case !s.isBehindPeers():
+		s.view.ConfirmedAt = max(s.view.ConfirmedAt, began)
+	case began > s.peers.since:
+		s.disprove()
+	}
 }
 
 // disprove makes the configuration count as not proven to be the newest. The caller holds
