--- a/pkg/listing/restore.go
+++ b/pkg/listing/restore.go
@@ -77,13 +77,17 @@
 	if len(l.left) == 0 {
 		return
 	}
-	left := maps.Clone(l.left)
+	cloned := false
 	for _, p := range t.Places {
-		if g, ok := left[p.ID]; ok && t.End > g.offset && t.End.Era() == g.offset.Era() {
-			delete(left, p.ID)
+		g, ok := l.left[p.ID]
+		if !ok || t.End <= g.offset || t.End.Era() != g.offset.Era() {
+			continue
 		}
+		if !cloned { // announcements come often, and few lists have such a server
+			l.left, cloned = maps.Clone(l.left), true
+		}
+		delete(l.left, p.ID)
 	}
-	l.left = left
 }
 
 // releaseWithheld takes the withheld entries as the store lists them, if it has answered
