--- a/internal/instance/platform.go
+++ b/internal/instance/platform.go
@@ -49,16 +49,18 @@
 // Feed is a topic of the store, which keeps at least the newest record of each key.
 type Feed struct {
 	Name string // for logs
-	// Newest returns the newest record of each key, and the offset at which Read
+	// Newest returns the newest record of each key, and the position at which Read
 	// continues without missing a record.
 	Newest func(ctx context.Context) (records []Record, next position.Position, err error)
-	// Read returns the records from an offset on. If there is none yet, it waits
+	// Read returns the records from a position on. If there is none yet, it waits
 	// for the first. caughtUp is false if the store already has further records. The
-	// error is ErrTrimmed if some of the records have been deleted.
+	// error is ErrTrimmed if some of the records have been deleted, or the store was
+	// restored from a copy since the position was read.
 	Read func(ctx context.Context, from position.Position, wait time.Duration) (records []Record, next position.Position, caughtUp bool, err error)
 }
 
-// Record is a record of a feed. A record without a value removes its key.
+// Record is a record of a feed. A record without a value removes its key. Its position is
+// in the era of the store in which it was read.
 type Record struct {
 	Key    string
 	Value  []byte
--- a/internal/instance/state.go
+++ b/internal/instance/state.go
@@ -175,7 +175,7 @@
 }
 
 // ApplyKeeperProof records that a keeper has read all operator's records, which end
-// at an offset. The keeper's read began no earlier than proof, on the clock of
+// at a position. The keeper's read began no earlier than proof, on the clock of
 // package boottime. If this instance knows all these records too, its configuration
 // is proved to be the newest at that time.
 func (s *State) ApplyKeeperProof(end position.Position, proof time.Duration) {
@@ -194,7 +194,7 @@
 	}
 }
 
-// OperatorProgress returns the offset before which all operator's records are known,
+// OperatorProgress returns the position before which all operator's records are known,
 // and the start of this instance's read which showed that there were no others.
 func (s *State) OperatorProgress() (end position.Position, proof time.Duration) {
 	s.mu.Lock()
--- a/internal/neighbour/digest.go
+++ b/internal/neighbour/digest.go
@@ -41,10 +41,10 @@
 	// ListAge is the time in milliseconds since the keeper read the platform's list,
 	// from which Places is derived.
 	ListAge int64 `cbor:"19,keyasint,omitempty"`
-	// ListEnd is the offset up to which the keeper had read the list. Older releases
+	// ListEnd is the position up to which the keeper had read the list. Older releases
 	// leave it 0.
 	ListEnd position.Position `cbor:"21,keyasint,omitempty"`
-	// ListSince is the offset from which on the keeper has followed the list without
+	// ListSince is the position from which on the keeper has followed the list without
 	// losing the store. Older releases leave it 0.
 	ListSince position.Position `cbor:"22,keyasint,omitempty"`
 	// Gone lists the workers of any data centre that, according to the records that
@@ -60,7 +60,7 @@
 	// SilentHeadStarts holds the start times of the heads that don't answer the keeper, in
 	// the same order and in milliseconds since 1970.
 	SilentHeadStarts []int64 `cbor:"24,keyasint,omitempty"`
-	// OperatorEnd is the offset up to which the sender has read the operator's
+	// OperatorEnd is the position up to which the sender has read the operator's
 	// records. OperatorAge is the time in milliseconds since it began the read that
 	// found no further records.
 	OperatorEnd position.Position `cbor:"15,keyasint,omitempty"`
--- a/pkg/listing/guard.go
+++ b/pkg/listing/guard.go
@@ -4,7 +4,7 @@
 type Guard uint
 
 const (
-	GuardOffsetOrder   Guard = 1 << iota // a higher offset takes precedence over a later time
+	GuardOffsetOrder   Guard = 1 << iota // a higher position takes precedence over a later time
 	GuardPeerAnswers                     // no grace if the store answered another instance during the outage
 	GuardMajority                        // no grace unless most entries were removed
 	GuardKeeperRead                      // no grace for a removal that a keeper read while the store answered it
--- a/pkg/listing/list.go
+++ b/pkg/listing/list.go
@@ -57,7 +57,7 @@
 	withheld int                 // number of withheld entries
 }
 
-// entry is a server's entry and the offset of its record.
+// entry is a server's entry and the position of its record.
 type entry struct {
 	server   roster.Server
 	offset   position.Position
@@ -128,7 +128,7 @@
 // LastRead returns the statement of this instance's last read.
 func (l List) LastRead() Statement { return l.read }
 
-// FollowedFrom returns the offset from which on this instance followed the list without a
+// FollowedFrom returns the position from which on this instance followed the list without a
 // store outage.
 func (l List) FollowedFrom() position.Position { return l.followedFrom }
 
@@ -280,7 +280,7 @@
 	return !ok || e.server.Draining
 }
 
-// removalConfirmed reports whether a keeper has read the removal at an offset without
+// removalConfirmed reports whether a keeper has read the removal at a position without
 // a store outage, so that the removal is not a lapse.
 func (l List) removalConfirmed(offset position.Position) bool {
 	for _, t := range l.announcements {
--- a/pkg/listing/statement.go
+++ b/pkg/listing/statement.go
@@ -28,7 +28,7 @@
 }
 
 // Newer reports whether s takes precedence over another statement. It compares the
-// offsets, or the times if the offsets are equal or one of them is unknown.
+// positions, or the times if the positions are equal or one of them is unknown.
 func (s Statement) Newer(than Statement) bool {
 	if s.End > 0 && than.End > 0 && s.End != than.End {
 		return s.End > than.End
@@ -39,7 +39,7 @@
 // Announcement is a keeper's announcement of the places of a data centre.
 type Announcement struct {
 	Statement
-	// FollowedFrom is the offset from which on the keeper followed the list without a store
+	// FollowedFrom is the position from which on the keeper followed the list without a store
 	// outage, so a removal there was not caused by an outage.
 	FollowedFrom position.Position
 	Places       []dispatch.Place
