--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -76,7 +76,7 @@
 // holds the lock.
 func (p *Places) dispatchWaiting(now time.Time) {
 	for _, t := range p.scheduler.AssignWaiting(now) {
-		p.notify(t, dispatch.Decision{Verdict: dispatch.Run, Place: t.Place()})
+		p.notify(t, p.scheduler.Assigned(now, t))
 	}
 	for _, t := range p.scheduler.RemoveExpired(now) {
 		p.notify(t, p.scheduler.Refusal(now, t))
--- a/pkg/dispatch/board.go
+++ b/pkg/dispatch/board.go
@@ -275,12 +275,15 @@
 func (s *Scheduler) run(now time.Time, t *Ticket, p *placeState, d Decision) Decision {
 	d.Verdict, d.Place, d.Running = Run, p.Place, p.running()
 	s.assign(now, t, p)
-	if l, ok := s.limits.Limit(now, p.ID, p.Run, s.fleet()); ok {
-		d.Limit = &l
-	}
+	d.Limit = s.limitOf(now, p)
 	return d
 }
 
+// Assigned returns the decision on a ticket that AssignWaiting returned.
+func (s *Scheduler) Assigned(now time.Time, t *Ticket) Decision {
+	return Decision{Verdict: Run, Place: t.Place(), Limit: s.limitOf(now, t.place)}
+}
+
 // outranked reports whether a waiting ticket precedes t.
 func (s *Scheduler) outranked(now time.Time, k serviceModel, t *Ticket) bool {
 	for _, w := range s.waiting[k] {
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -46,11 +46,19 @@
 	}
 }
 
+// limitOf returns the limit of a place, or nil if it has none.
+func (s *Scheduler) limitOf(now time.Time, p *placeState) *ratelimit.Limit {
+	if l, ok := s.limits.Limit(now, p.ID, p.Run, s.fleet()); ok {
+		return &l
+	}
+	return nil
+}
+
 // capacity returns how many requests can run at a place: its slots, or fewer if its limit
 // lets fewer start within a run time.
 func (s *Scheduler) capacity(now time.Time, p *placeState) float64 {
 	slots := float64(p.Slots)
-	if l, ok := s.limits.Limit(now, p.ID, p.Run, s.fleet()); ok {
+	if l := s.limitOf(now, p); l != nil {
 		if mean := s.meanRunTimes[serviceModel{p.Service, p.Model}]; mean > 0 {
 			return min(slots, l.PerSecond*mean.Seconds())
 		}
@@ -66,8 +74,8 @@
 		if _, barred := s.barred(now, p); barred || t.tried(p.ID) {
 			continue
 		}
-		l, ok := s.limits.Limit(now, p.ID, p.Run, s.fleet())
-		if !ok {
+		l := s.limitOf(now, p)
+		if l == nil {
 			return 0, false
 		}
 		perSecond += l.Part
--- a/pkg/dispatch/limit_test.go
+++ b/pkg/dispatch/limit_test.go
@@ -102,6 +102,17 @@
 		s, now := newLimitedScheduler(false)
 		g.Expect(offerAt(s, now).Limit).To(Equal(&ratelimit.Limit{PerSecond: 2, Age: 10 * time.Second, Part: 2}))
 	})
+	t.Run("tells which limit decided after a wait", func(t *testing.T) {
+		g := NewWithT(t)
+		s, now := newLimitedScheduler(false)
+		waiting := newTicket(now.Sub(start) + time.Second)
+		for s.Offer(now, waiting).Verdict == dispatch.Run {
+			waiting = newTicket(now.Sub(start) + time.Second)
+		}
+		now = now.Add(900 * time.Millisecond)
+		g.Expect(s.AssignWaiting(now)).To(HaveExactElements(waiting))
+		g.Expect(s.Assigned(now, waiting).Limit).To(HaveField("PerSecond", 2.0))
+	})
 	t.Run("counts as fully used at its limit", func(t *testing.T) {
 		g := NewWithT(t)
 		s, now := newLimitedScheduler(false)
