review: show that a sound part of prompts is blocked instead of the bad one

**Cause**: isExplained takes the later of two parts that were in all crashes as the cause, and answers before the first crash aren't remembered.

--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 type Request struct {
 	Method, Path, ID string
 	Deadline         time.Duration
+	Key              string // empty for Key
 	Header           map[string]string
 	Body             []byte
 }
@@ -40,7 +42,7 @@
 	req.Host = "ficu95.example"
 	req.Header.Set("X-Request-Id", r.ID)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Bearer "+Key)
+	req.Header.Set("Authorization", "Bearer "+cmp.Or(r.Key, Key))
 	for name, value := range r.Header {
 		req.Header.Set(name, value)
 	}
--- a/review/stand-2/model.go
+++ b/review/stand-2/model.go
@@ -17,6 +17,7 @@
 const (
 	Model      = "rada7437b5"
 	groupSize  = 3
+	domainSize = 11
 	slots      = 26
 	hotTime    = 200 * time.Millisecond
 	warmTime   = 1100 * time.Millisecond
@@ -110,7 +111,7 @@
 func (d *Deployment) StartPool(p *Pool, n int, zone string) error {
 	p.put = func(id string, entry []byte) { d.Store.Put(topicWorkers, id, entry) }
 	for i := range n {
-		w := &modelWorker{pool: p, id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), zone: zone, domain: zone + "-d0"}
+		w := &modelWorker{pool: p, id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), zone: zone, domain: fmt.Sprintf("%s-d%d", zone, i/domainSize)}
 		listener, err := net.Listen("tcp4", d.IP(100+i)+":0")
 		if err != nil {
 			return err
--- a/review/stand-2/prompts/main.go
+++ b/review/stand-2/prompts/main.go
@@ -4,7 +4,9 @@
 //	prompts PROGRAM FOLDER [VARIANT]
 //
 // In the variant "head", the worker has sent the head of its answer by then, otherwise
-// nothing. In the variant "quiet", it has, and there are few sound requests.
+// nothing. In the variant "quiet", it has, and there are few sound requests. In the variant
+// "long", it has, and prompts have the parts of a long conversation, of which the bad one is
+// among the last.
 package main
 
 import (
@@ -29,6 +31,8 @@
 	maxAfter    = 3
 	fatalCrash  = 5
 	poisonEvery = 700 * time.Millisecond
+	longTurns   = 34
+	topics      = 8
 )
 
 // shared are parts that sound requests and those with the bad part have in common.
@@ -133,13 +137,21 @@
 	defer stop()
 	var clients sync.WaitGroup
 	clients.Go(func() {
-		repeat(load, d, &clients, soundEvery, "sound", func() []string { return draw(2) })
+		repeat(load, d, &clients, soundEvery, "sound", func() []string {
+			if variant == "long" {
+				return conversation(longTurns + 1)
+			}
+			return draw(2)
+		})
 	})
 	time.Sleep(5 * time.Second)
 	d.Record.Add("requests with the part %s begin", badPart)
 	clients.Go(func() {
 		repeat(load, d, &clients, poisonEvery, "bad", func() []string {
 			parts := append(draw(1), badPart)
+			if variant == "long" {
+				return append(conversation(longTurns), badPart)
+			}
 			rand.Shuffle(len(parts), func(a, b int) { parts[a], parts[b] = parts[b], parts[a] })
 			return parts
 		})
@@ -148,6 +160,16 @@
 	return j.verdict(), nil
 }
 
+// conversation returns the parts of a conversation of n turns.
+func conversation(n int) []string {
+	parts := draw(1)
+	topic := rand.IntN(topics)
+	for turn := 1; turn < n; turn++ {
+		parts = append(parts, fmt.Sprintf("%04x%04x", 0xa000+topic, turn))
+	}
+	return parts
+}
+
 func draw(n int) []string {
 	parts := slices.Clone(shared)
 	rand.Shuffle(len(parts), func(a, b int) { parts[a], parts[b] = parts[b], parts[a] })
