review: show a late join in a successor's open group where no grants are left

**Cause**: a grant is the era of the store shifted by 16 bits, at most 2^24-1, so that no keeper gets one from era 256 on, and two in a row begin with the same epochs.

--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -315,3 +316,19 @@
 		"tenants": []any{map[string]any{"name": "hule930", "api-keys": []string{Key}}},
 	}
 }
+
+// ActsAsKeeper reports whether the last line of its log on that says that the instance manages
+// the groups of its zone.
+func (e *Entry) ActsAsKeeper() bool {
+	data, err := os.ReadFile(e.log.Name())
+	if err != nil {
+		return false
+	}
+	acting := false
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if strings.Contains(line, `"msg":"keeper"`) {
+			acting = strings.Contains(line, `"acting":true`)
+		}
+	}
+	return acting
+}
--- a/review/stand-2/model.go
+++ b/review/stand-2/model.go
@@ -1,6 +1,7 @@
 package stand2
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,12 +46,13 @@
 	// OnCrash is called for each crash.
 	OnCrash func(worker string, r *http.Request)
 
-	// Late returns the time after which an order is carried out without an answer; 0 means
-	// at once and with one. May be nil.
-	Late func() time.Duration
-	// CheckLate makes a worker check the precondition of a late order also when it is carried
-	// out, and not only when it is accepted.
-	CheckLate bool
+	// Events is how many events a stream has; 0 means eventCount.
+	Events int
+	// OnCut, if not nil, is called when an order to close a group cancels a stream.
+	OnCut func(worker string, r *http.Request)
+	// HoldBack, if not nil, reports whether an order that a worker has accepted is left without
+	// an answer. It is carried out by CarryOut. It is called with the lock held.
+	HoldBack func(worker string, o Order) bool
 
 	put     func(id string, entry []byte)
 	mu      sync.Mutex
@@ -59,6 +61,7 @@
 	closed  bool
 	ready   map[string]bool // members that were ready, with the group and its epoch
 	broken  []string        // how rules on groups were broken
+	held    []heldOrder
 }
 
 type modelWorker struct {
@@ -89,6 +92,7 @@
 	readyAt time.Time
 	openAt  time.Time // zero unless an order to open was taken
 	closing bool
+	closed  int       // how many times an order to close cancelled the requests
 	stalled time.Time // since when a member is missing; zero if none is
 	failed  bool      // for longer than stallTime
 }
@@ -154,7 +158,7 @@
 			whole := true
 			for _, id := range g.members {
 				m := byID[id]
-				whole = whole && m != nil && m.alive && m.group != nil && m.group.name == g.name && m.group.epoch == g.epoch
+				whole = whole && m != nil && m.alive && !now.Before(m.silent) && m.group != nil && m.group.name == g.name && m.group.epoch == g.epoch
 			}
 			switch {
 			case whole:
@@ -372,28 +376,13 @@
 		rw.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(rw).Encode(fields)
 	case "POST /order":
-		if w.pool.Late != nil {
-			if late := w.pool.Late(); late > 0 {
-				w.pool.mu.Lock()
-				born := w.born
-				accepted := w.accepts(body)
-				w.pool.Record.Add("worker %s: order %s, accepted: %v, late by %v", w.id, body, accepted, late)
-				w.pool.mu.Unlock()
-				if !accepted {
-					<-r.Context().Done()
-					return
-				}
-				time.AfterFunc(late, func() {
-					w.pool.mu.Lock()
-					defer w.pool.mu.Unlock()
-					if w.alive && w.born == born {
-						w.pool.Record.Add("worker %s carries out a late order: %s: status %d", w.id, body, w.order(body, w.pool.CheckLate))
-					}
-				})
-				<-r.Context().Done()
-				return
-			}
+		w.pool.mu.Lock()
+		if w.holdsBack(body) {
+			w.pool.mu.Unlock()
+			<-r.Context().Done()
+			return
 		}
+		w.pool.mu.Unlock()
 		w.pool.mu.Lock()
 		status := w.order(body, true)
 		w.pool.Record.Add("worker %s: order %s: status %d", w.id, body, status)
@@ -406,22 +395,96 @@
 	}
 }
 
-// accepts reports whether an order fits the number of orders so far. The caller holds the
-// lock.
-func (w *modelWorker) accepts(body []byte) bool {
-	var o struct{ Precondition *int64 }
-	return json.Unmarshal(body, &o) == nil && (o.Precondition == nil || *o.Precondition == w.orders)
+// Order is an order to a worker.
+type Order struct {
+	Operation, Group, Model string
+	Epoch                   int64
+	Members                 []string
+	CloseMode               string `json:"close-mode"`
+	Precondition            *int64
+}
+
+// heldOrder is an order that was accepted and not carried out.
+type heldOrder struct {
+	worker *modelWorker
+	born   time.Time
+	body   []byte
+}
+
+// holdsBack keeps an order for later if it fits the number of orders so far and the pool says
+// so. The caller holds the lock.
+func (w *modelWorker) holdsBack(body []byte) bool {
+	var o Order
+	if json.Unmarshal(body, &o) != nil || o.Precondition != nil && *o.Precondition != w.orders || w.pool.HoldBack == nil || !w.pool.HoldBack(w.id, o) {
+		return false
+	}
+	w.pool.held = append(w.pool.held, heldOrder{w, w.born, body})
+	w.pool.Record.Add("worker %s: order %s is accepted and not answered", w.id, body)
+	return true
+}
+
+// CarryOut carries out the orders that were held back, if their workers still run. Their
+// epochs are compared now, their preconditions were when they arrived.
+func (p *Pool) CarryOut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.held {
+		if h.worker.alive && h.worker.born == h.born {
+			p.Record.Add("worker %s carries out a late order: %s", h.worker.id, h.body)
+			p.Record.Add("worker %s: status %d", h.worker.id, h.worker.order(h.body, false))
+		}
+	}
+	p.held = nil
+}
+
+// Roles returns the head and another member of an open group, and a worker that is in none.
+func (p *Pool) Roles() (head, member, spare string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		switch g := w.group; {
+		case !w.alive:
+		case g == nil || len(g.members) < groupSize:
+			spare = w.id
+		case g.rank == 0 && g.state(time.Now()) == "open":
+			head, member = w.id, g.members[1]
+		}
+	}
+	return head, member, spare
+}
+
+// InOpenGroup reports whether a worker is a member of an open group.
+func (p *Pool) InOpenGroup(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if g := w.group; w.alive && g != nil && len(g.members) == groupSize && g.rank == 0 && g.state(time.Now()) == "open" && slices.Contains(g.members, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Silence makes a worker answer nothing for a time.
+func (p *Pool) Silence(id string, d time.Duration) {
+	p.mu.Lock()
+	i := slices.IndexFunc(p.workers, func(w *modelWorker) bool { return w.id == id })
+	p.mu.Unlock()
+	p.Disturb(i, d)
+}
+
+// Crash crashes a worker, which starts again after a time.
+func (p *Pool) Crash(id string, back time.Duration) {
+	p.mu.Lock()
+	p.Back = back
+	i := slices.IndexFunc(p.workers, func(w *modelWorker) bool { return w.id == id })
+	p.mu.Unlock()
+	p.Disturb(i, 0)
 }
 
 // order carries out an order and returns the status. The caller holds the lock.
 func (w *modelWorker) order(body []byte, checkCount bool) int {
-	var o struct {
-		Operation, Group, Model string
-		Epoch                   int64
-		Members                 []string
-		CloseMode               string `json:"close-mode"`
-		Precondition            *int64
-	}
+	var o Order
 	if err := json.Unmarshal(body, &o); err != nil {
 		return http.StatusBadRequest
 	}
@@ -458,7 +521,10 @@
 		g.openAt = now.Add(formTime)
 		w.writeLater(formTime)
 	case o.Operation == "close" && g.rank == 0 && g.state(now) == "open":
-		g.openAt = time.Time{} // there is nothing that runs long
+		g.openAt = time.Time{}
+		if o.CloseMode == "cancel" {
+			g.closed++
+		}
 	case o.Operation == "leave":
 		w.group, status = nil, http.StatusOK
 	default:
@@ -476,6 +542,10 @@
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	p.mu.Lock()
 	g, born := w.group, w.born
+	closed := 0
+	if g != nil {
+		closed = g.closed
+	}
 	if g == nil || g.rank != 0 {
 		p.mu.Unlock()
 		h.Set("X-Instance-Id", w.id)
@@ -526,8 +596,8 @@
 	if err != nil {
 		last = 0
 	}
-	for n := last + 1; n <= eventCount; n++ {
-		for p.isStalled(w, born) {
+	for n := last + 1; n <= cmp.Or(p.Events, eventCount); n++ {
+		for p.isStalled(w, g, closed, born, r) {
 			select {
 			case <-r.Context().Done():
 				panic(http.ErrAbortHandler)
@@ -546,15 +616,18 @@
 	}
 }
 
-// isStalled reports whether a head stands still, since a member is missing. It panics to cut
-// the stream if the group is broken.
-func (p *Pool) isStalled(w *modelWorker, born time.Time) bool {
+// isStalled reports whether a head stands still, since a member is missing or silent. It panics
+// to cut the stream if the group is broken or closed.
+func (p *Pool) isStalled(w *modelWorker, g *membership, closed int, born time.Time, r *http.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w.born != born || w.group == nil || w.group.failed {
+	if w.born == born && (w.group != g || g.closed != closed) && p.OnCut != nil {
+		p.OnCut(w.id, r)
+	}
+	if w.born != born || w.group != g || g.failed || g.closed != closed {
 		panic(http.ErrAbortHandler)
 	}
-	return !w.group.stalled.IsZero()
+	return !g.stalled.IsZero()
 }
 
 // OpenHeads returns how many groups are open.
