--- a/review/stand-2/shared/main.go
+++ b/review/stand-2/shared/main.go
@@ -24,7 +24,7 @@
 	housePart = "0b7d22e4" // of all requests of the small account
 	smallKey  = "anfqasnmgkcuyj8pjbvk"
 
-	largeEvery  = 50 * time.Millisecond
+	largeEvery  = 30 * time.Millisecond
 	smallEvery  = 1500 * time.Millisecond
 	badEvery    = 3 * time.Second
 	calmTime    = 36 * time.Second
