answer: a status that is none of HTTP is malformed

Callers saw: an answer with status 000 reached the callers of plain services of the own interface as a reply with status 0, and an operator's command that was answered so passed for carried out. On the users' platform one with a plain body was refused with 502, since its body was no answer; where the body was an answer itself, that reached the client. 600 to 999 were passed on, and so was 101, which no request asks for. Cause: net/http takes any three digits for a status. exchange took everything below 200 but 101 for informational and read on, the body of the answer included; http.Transport hands it over as final. Evidence, tests that failed before: TestAnswerWithAnInvalidStatus in engine (000, 099, 101, 600, 999; service, completion, stream, control call; the boot ID was handled), in operator (000), and in gateway (000 with an answer as its body, 101, 600, 999). Handled before in gateway: 000 and 099 with another body or none; their tests stay, and failed before only by the reason that an unsafe request is refused with, "answer broke off: unexpected EOF" for "answer malformed". Change: CheckHead refuses a status outside 100 to 599, and 101. Why it works: it comes before the question whether a head is informational, so that nothing after such a head is read, and all readers go through it. The attempt counts as one that may have run; the log has the reason "answer malformed" and the status. Not tried: what the own interface sent to its callers for status 0. By reading, net/http panics at it and the connection is cut.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -14,10 +14,19 @@
 // maxTextBytes is the largest part that Malformed keeps of a text.
 const maxTextBytes = 120
 
+const (
+	minStatus = http.StatusContinue
+	maxStatus = 599
+)
+
 // CheckHead returns an error marked with ErrMalformed unless the head of an answer, which
 // may be informational, is valid. It checks what net/http lets through: blanks in the
-// names of fields (RFC 9112, section 5.1).
+// names of fields (RFC 9112, section 5.1), a status outside the five classes (RFC 9110,
+// section 15), and a switch of protocols, for which no request asks.
 func CheckHead(resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
+		return Malformed(fmt.Sprintf("invalid status %03d", resp.StatusCode))
+	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return Malformed(fmt.Sprintf("invalid field name %q", name))
--- a/internal/answer/head_test.go
+++ b/internal/answer/head_test.go
@@ -24,6 +24,14 @@
 		{"blank in a name", "HTTP/1.1 200 OK\r\nBad Name: x\r\n", `malformed answer: invalid field name "Bad Name"`},
 		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", `malformed answer: invalid field name "Content-Length "`},
 		{"blank in the name of an informational answer", "HTTP/1.1 103 Hints\r\nBad Name: x\r\n", `malformed answer: invalid field name "Bad Name"`},
+		{"status 000", "HTTP/1.1 000 None\r\n", "malformed answer: invalid status 000"},
+		{"status with a sign", "HTTP/1.1 +20 None\r\n", "malformed answer: invalid status 020"},
+		{"status 099", "HTTP/1.1 099 None\r\n", "malformed answer: invalid status 099"},
+		{"status 100", "HTTP/1.1 100 Continue\r\n", ""},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\n", "malformed answer: invalid status 101"},
+		{"status 599", "HTTP/1.1 599 Own\r\n", ""},
+		{"status 600", "HTTP/1.1 600 None\r\n", "malformed answer: invalid status 600"},
+		{"status 999", "HTTP/1.1 999 None\r\n", "malformed answer: invalid status 999"},
 		{"long name", "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 500) + " : x\r\n", `malformed answer: invalid field name "` + strings.Repeat("x", 100)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -105,3 +105,10 @@
 func TestAnswerWithAnInvalidFieldName(t *testing.T) {
 	expectNoAnswer(t, "HTTP/1.1 200 OK\r\nBad Name: x\r\n")
 }
+
+// An answer whose status is none of HTTP was passed on.
+func TestAnswerWithAnInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) { expectNoAnswer(t, "HTTP/1.1 "+status+" None\r\n") })
+	}
+}
--- a/internal/exchange/read.go
+++ b/internal/exchange/read.go
@@ -24,7 +24,7 @@
 		if err := answer.CheckHead(resp); err != nil {
 			return nil, false, errors.Wrap(err, "reading the answer")
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusOK {
 			if informationalCount++; informationalCount > maxInformationalAnswers {
 				return nil, false, &TooLongError{Part: Informational, Limit: maxInformationalAnswers}
 			}
@@ -41,7 +41,7 @@
 			continue
 		}
 		c.serverIdleTimeout = parseKeepAliveTimeout(resp.Header)
-		reusable := !resp.Close && foreignCount == 0 && resp.StatusCode != http.StatusSwitchingProtocols && !answer.EndsWithConn(resp)
+		reusable := !resp.Close && foreignCount == 0 && !answer.EndsWithConn(resp)
 		return resp, reusable, nil
 	}
 	return nil, false, ErrForeignAnswer
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -168,3 +168,20 @@
 		t.Run(name, func(t *testing.T) { expectNotPassedOn(t, text) })
 	}
 }
+
+// An answer whose status is none of HTTP was passed on, or its body was read as the next
+// answer.
+func TestAnswerWithAnInvalidStatus(t *testing.T) {
+	const fields = "X-Request-Id: r\r\nX-Signed: yes\r\n"
+	for name, text := range map[string]string{
+		"000":                         "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"000, no body":                "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 0\r\n\r\n",
+		"000, an answer as body":      "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 80\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"099":                         "HTTP/1.1 099 None\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"101, which nobody asked for": "HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"600":                         "HTTP/1.1 600 None\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+		"999":                         "HTTP/1.1 999 None\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) { expectNotPassedOn(t, text) })
+	}
+}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -7,7 +7,11 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+
+	"github.com/chicorystall/chicorystall/internal/answer"
+	"github.com/chicorystall/chicorystall/internal/fake/broken"
 )
 
 // A call must end and allocate bounded memory, whatever process answers at the address:
@@ -45,3 +49,13 @@
 		})
 	}
 }
+
+// A command to which a process answered with a status that is none of HTTP passed for one
+// that was carried out.
+func TestAnswerWithAnInvalidStatus(t *testing.T) {
+	g := NewWithT(t)
+	server, err := broken.Start(t.Context(), broken.Answer{Text: "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}", ReadsRequest: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Client{Address: server.Address}.SkipLost(t.Context())
+	g.Expect(errors.Is(err, answer.ErrMalformed)).To(BeTrue(), "error %v", err)
+}
