answer: a write that has ended goes before the end of its context

Cause: Write.Wait chose at random when the write had ended and the context too, so that an answer which was whole at the deadline of its request could fail. Change: the result of the write goes first. TestWaitEndsWithItsContext failed before. The comment of Body says what its context is for.

--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -19,7 +19,8 @@
 }
 
 // Body returns the body of an answer to a request that may still be written. Its reads
-// return io.EOF only if it is whole, until ctx ends.
+// return io.EOF only if it is whole. ctx is that of the request and ends a wait for the
+// write.
 //
 // net/http ensures that for a body with a length or chunks. The end of any other is that
 // of its connection, which must have ended without an error after the request was written.
--- a/internal/answer/transport_test.go
+++ b/internal/answer/transport_test.go
@@ -104,12 +104,20 @@
 	}
 }
 
-// The end of ctx ends a body that waits for the request to be written.
+// The end of ctx ends a body that waits for the request to be written, but not one whose
+// request was written.
 func TestWaitEndsWithItsContext(t *testing.T) {
 	g := NewWithT(t)
-	resp := httptest.NewRecorder().Result()
 	ctx, cancel := context.WithCancelCause(t.Context())
 	cancel(io.ErrNoProgress)
-	_, err := io.ReadAll(answer.Body(ctx, resp, answer.NewWrite()))
-	g.Expect(err).To(MatchError(io.ErrNoProgress))
+	write := answer.NewWrite()
+	read := func() error {
+		_, err := io.ReadAll(answer.Body(ctx, httptest.NewRecorder().Result(), write))
+		return err
+	}
+	g.Expect(read()).To(MatchError(io.ErrNoProgress))
+	write.End(nil)
+	for range 20 {
+		g.Expect(read()).To(Succeed())
+	}
 }
--- a/internal/answer/write.go
+++ b/internal/answer/write.go
@@ -36,8 +36,11 @@
 		w.End(err)
 		return err
 	case <-ctx.Done():
-		return context.Cause(ctx)
 	}
+	if err, ended := w.Result(); ended {
+		return err
+	}
+	return context.Cause(ctx)
 }
 
 // restart removes the result of a write that is done again on another connection.
