--- a/review/stand-3/poisoned.go
+++ b/review/stand-3/poisoned.go
@@ -98,14 +98,14 @@
 }
 
 // playForgotten is playUnframedCrash with chunked streams, while all entry instances are killed
-// three times.
+// twice.
 func playForgotten(w *world, trouble bool) (bool, error) {
 	if err := w.begin(8, 2); err != nil {
 		return false, err
 	}
-	kills := []time.Duration{12200 * time.Millisecond, 30200 * time.Millisecond, 48200 * time.Millisecond}
+	kills := []time.Duration{12200 * time.Millisecond, 30200 * time.Millisecond}
 	var failure error
-	isBroken := w.playDeadly(trouble, 68*time.Second, 9*time.Second, func(since time.Duration) {
+	isBroken := w.playDeadly(trouble, 52*time.Second, 9*time.Second, func(since time.Duration) {
 		if !trouble || len(kills) == 0 || since < kills[0] {
 			return
 		}
