--- a/review/stand-3/evacuated.go
+++ b/review/stand-3/evacuated.go
@@ -58,6 +58,7 @@
 		d.mu.Lock()
 		d.arrivals = append(d.arrivals, a)
 		d.mu.Unlock()
+		d.world.log("worker %s in %s gets request %s, for another worker %v", id, zone, request, a.otherRequest)
 		if a.otherRequest {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -143,6 +144,7 @@
 				case <-time.After(time.Second / lookupRate):
 				}
 				id, status := w.lookUp(client, i)
+				w.log("client sent request %s to %s: status %d", id, i.name, status)
 				mu.Lock()
 				sentTo[id] = i
 				statuses[status]++
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -388,6 +388,7 @@
 		if !r.begun {
 			r.begun = true
 			w.fleet.begun[r.id] = true
+			w.fleet.world.log("worker %s begins to run request %s", w.id, r.id)
 		}
 		if r.deadly && r.sent >= w.fleet.first {
 			w.fleet.crashes = append(w.fleet.crashes, now)
@@ -458,6 +459,7 @@
 	f.runs = append(f.runs, run{at: time.Now(), calm: f.world.isCalm(), id: id, worker: w.id, deadly: q.deadly})
 	unframed := f.unframe
 	f.mu.Unlock()
+	f.world.log("worker %s takes request %s, deadly part %v, after event %d", w.id, id, q.deadly, q.from)
 	defer w.drop(q)
 	h.Set("X-Response-Stamp", "signed."+w.id)
 	h.Set("X-Weight-Versions", "1")
